--- /dev/null
+++ b/jest.config.js
@@ -0,0 +1,1 @@
+module.exports = { testEnvironment: "node", roots: ["<rootDir>/dist/test"], testTimeout: 300000 };
--- /dev/null
+++ b/src/adapters/operatorHttp.ts
@@ -0,0 +1,161 @@
+import { Constants } from "../constants";
+import { Task } from "../csp/csp";
+import { Env, EnvTools, HttpIn } from "../env/env";
+import { Command } from "../control/controlState";
+import { Fault, Result } from "../core/fault";
+import { Host } from "../core/host";
+import { Ledger } from "../core/ledger";
+import { Node } from "../core/node";
+import { Putter } from "../store/putter";
+import { Http, Route } from "./http";
+import { OperatorSchemas } from "./operatorSchemas";
+
+export type OperatorHooks = { ready: () => string | undefined; metrics: () => Record<string, number>; ledgerSource: Putter };
+
+/** If-Match as a version, or a reply that one is needed. */
+function versionOf(incoming: HttpIn): number | undefined {
+  const given = (incoming.headers["if-match"] ?? "").replace(/^W\//, "").replace(/"/g, "");
+  if (/^\d+$/.test(given)) return +given;
+  Http.problem(incoming, { tag: "invalid", step: "read If-Match", member: "operator", detail: "name the version the change was made against in If-Match" }, 428);
+  return undefined;
+}
+
+/**
+ * The operators' and replicas' shape of the HTTP surface, the same on every program.
+ *
+ * @example
+ * yield* OperatorHttp.serve(env, "127.0.0.1:8080", node, hooks);
+ */
+export const OperatorHttp = {
+  *serve(env: Env, address: string, node: Node, hooks: OperatorHooks): Task<Result<true>> {
+    const routes = OperatorHttp.routes(Host.of(node), hooks);
+    return yield* env.serveHttp(address, (incoming) => Http.dispatch(routes, incoming));
+  },
+
+  /** @example const routes = OperatorHttp.routes(host, hooks); */
+  routes(host: Host, hooks: OperatorHooks): Route[] {
+    const { env } = host;
+    const changed = function* (incoming: HttpIn, make: (base: { changeId: string; ifVersion: number; by: string }) => Command): Task<void> {
+      const ifVersion = versionOf(incoming);
+      if (ifVersion === undefined) return;
+      const changeId = incoming.headers["x-change-id"] || EnvTools.id(env, "change");
+      const by = incoming.headers["x-operator"] || "operator";
+      const done = yield* Host.askControl(host, { op: "change", command: make({ changeId, ifVersion, by }) }, Constants.changeWaitMs);
+      if (!done.ok) return Http.problem(incoming, done.fault, undefined, { changeId });
+      Http.json(incoming, 200, { version: done.value.version, changeId }, { etag: `"${done.value.version}"` });
+    };
+    const doc = (what: "manifest" | "policies", limit: number): Route[] => [
+      {
+        method: "GET", path: new RegExp(`^/v1/${what}$`),
+        *run(incoming) {
+          const read = yield* Host.askControl(host, { op: "read", what }, 4000);
+          if (!read.ok) return Http.problem(incoming, read.fault);
+          Http.json(incoming, 200, read.value, { etag: `"${read.value.version}"` });
+        },
+      },
+      {
+        method: "PUT", path: new RegExp(`^/v1/${what}$`),
+        *run(incoming) {
+          const body = yield* Http.body(incoming, limit);
+          if (!body) return;
+          const checked: Result<any> = what === "manifest" ? OperatorSchemas.manifest(body.value) : OperatorSchemas.policies(body.value);
+          if (!checked.ok) return Http.problem(incoming, checked.fault);
+          yield* changed(incoming, (base) => ({ tag: what, ...base, doc: checked.value }) as Command);
+        },
+      },
+    ];
+    const reading = (path: RegExp, read: (incoming: HttpIn, parts: string[]) => Task<Result<unknown>>): Route => ({
+      method: "GET", path,
+      *run(incoming, parts) {
+        const done = yield* read(incoming, parts);
+        if (!done.ok) return Http.problem(incoming, done.fault);
+        if (done.value === null || done.value === undefined) return Http.problem(incoming, { tag: "notFound", step: "read", member: host.id, detail: `no ${incoming.path}` });
+        Http.json(incoming, 200, done.value);
+      },
+    });
+    const number = (incoming: HttpIn, name: string, otherwise: number, most: number): number => {
+      const given = Number(incoming.query.get(name) ?? otherwise);
+      return Number.isFinite(given) && given >= 0 ? Math.min(given, most) : otherwise;
+    };
+    return [
+      ...doc("manifest", Constants.manifestLimitBytes),
+      ...doc("policies", Constants.bodyLimitBytes),
+      reading(/^\/v1\/calendar$/, () => Host.askControl(host, { op: "read", what: "calendar" }, 4000)),
+      reading(/^\/v1\/calendar\/([^/]+)$/, (_incoming, [id]) => Host.askControl(host, { op: "read", what: "calendar", id }, 4000)),
+      reading(/^\/v1\/changes\/([^/]+)$/, (_incoming, [id]) => Host.askControl(host, { op: "read", what: "change", id }, 4000)),
+      {
+        method: "PUT", path: /^\/v1\/calendar\/([A-Za-z0-9._-]{1,80})$/,
+        *run(incoming, [id]) {
+          const body = yield* Http.body(incoming, Constants.manifestLimitBytes);
+          if (!body) return;
+          const checked = OperatorSchemas.calendar(body.value, env.wall());
+          if (!checked.ok) return Http.problem(incoming, checked.fault);
+          yield* changed(incoming, (base) => ({ tag: "pencil", ...base, id, due: checked.value.due, move: checked.value.move }));
+        },
+      },
+      {
+        method: "DELETE", path: /^\/v1\/calendar\/([A-Za-z0-9._-]{1,80})$/,
+        *run(incoming, [id]) {
+          yield* changed(incoming, (base) => ({ tag: "erase", ...base, id }));
+        },
+      },
+      reading(/^\/v1\/ledger$/, (incoming) => Ledger.read(host, incoming.query.get("after") ?? "", number(incoming, "limit", 200, 2000))),
+      reading(/^\/v1\/why\/(.+)$/, function* (_incoming, [id]) {
+        const why = yield* Ledger.why(host, id);
+        return why.ok && why.value.entries.length === 0 ? Fault.fail("notFound", "why", host.id, `nothing in the ledger bears on ${id}`) : why;
+      }),
+      reading(/^\/v1\/at\/(.+)$/, (incoming, [subject]) =>
+        hooks.ledgerSource.askLead(hooks.ledgerSource.shardOf(subject.replace(/^(request|lot) /, "")), "temporal.get", () => ({ subject, time: number(incoming, "time", env.wall(), Number.MAX_SAFE_INTEGER), waitMs: number(incoming, "waitMs", Constants.readWaitMs, Constants.readWaitMs) }), Constants.readWaitMs + 1000, Constants.readWaitMs + 500)),
+      reading(/^\/v1\/members$/, function* () {
+        const frame = host.frame();
+        return Fault.ok({
+          members: frame.members.map(({ id, program, district, address, http, state }) => ({ id, program, district, address, http, state })),
+          replicas: frame.replicas, group: frame.control?.group ?? null, frame: frame.control?.index ?? 0, manifest: frame.control?.manifest.version ?? 0,
+          views: Object.values(frame.control?.views ?? {}), drained: frame.control?.drained ?? [], retiring: frame.control?.retiring ?? [], releases: frame.control?.releases ?? {},
+        });
+      }),
+      reading(/^\/v1\/inforce$/, function* () {
+        const control = host.frame().control;
+        return Fault.ok(control ? { frame: control.index, manifest: control.manifest, policies: control.policies } : null);
+      }),
+      reading(/^\/v1\/shards$/, function* () {
+        const stores: unknown[] = [];
+        for (const member of host.frame().members.filter((each) => each.program === "store")) {
+          const replied = yield* host.rpc.ask(member.address, "store.shards", {}, 800);
+          if (replied.ok) stores.push({ store: member.id, ...replied.value });
+        }
+        return Fault.ok({ stores });
+      }),
+      {
+        method: "PUT", path: /^\/v1\/replicas\/([A-Za-z0-9._-]{1,80})$/,
+        *run(incoming, [id]) {
+          const body = yield* Http.body(incoming, 65_536);
+          if (!body) return;
+          const checked = OperatorSchemas.announcement(body.value);
+          if (!checked.ok) return Http.problem(incoming, checked.fault);
+          const done = yield* host.announce({ ...checked.value, id });
+          if (!done.ok) return Http.problem(incoming, done.fault, done.fault.tag === "conflict" ? 409 : undefined);
+          Http.json(incoming, 200, { ...(done.value as object), grantMs: Constants.replicaGrantMs });
+        },
+      },
+      {
+        method: "DELETE", path: /^\/v1\/replicas\/([A-Za-z0-9._-]{1,80})$/,
+        *run(incoming, [id]) {
+          const done = yield* host.goodbye(id);
+          if (!done.ok) return Http.problem(incoming, done.fault);
+          Http.json(incoming, 200, { goodbye: id });
+        },
+      },
+      { method: "GET", path: /^\/livez$/, *run(incoming) { Http.json(incoming, 200, { live: true }); } },
+      {
+        method: "GET", path: /^\/readyz$/,
+        *run(incoming) {
+          const why = hooks.ready();
+          if (why) Http.problem(incoming, { tag: "busy", step: "ready", member: host.id, detail: why, retryAfterMs: Constants.retryAfterMs });
+          else Http.json(incoming, 200, { ready: true });
+        },
+      },
+      { method: "GET", path: /^\/metrics$/, *run(incoming) { incoming.send(200, { "content-type": "text/plain" }, Http.metricLines(hooks.metrics())); } },
+    ];
+  },
+};
--- /dev/null
+++ b/src/adapters/operatorSchemas.ts
@@ -0,0 +1,111 @@
+import Ajv, { ValidateFunction } from "ajv";
+import { Constants } from "../constants";
+import { Manifest, Move, PolicyLine } from "../control/controlState";
+import { Fault, Result } from "../core/fault";
+import { Announcement } from "../core/host";
+
+const name = { type: "string", pattern: "^[A-Za-z0-9._-]{1,80}$" };
+const manifestSchema = {
+  type: "object", additionalProperties: false, required: ["bindings"],
+  properties: {
+    bindings: {
+      type: "object", propertyNames: { pattern: "^[A-Za-z0-9._-]{1,80}$" },
+      additionalProperties: {
+        type: "object", additionalProperties: false, required: ["kind", "pool", "path"],
+        properties: {
+          kind: { enum: ["lookup", "stream", "item"] }, pool: name, path: { type: "string", pattern: "^/" },
+          safe: { type: "boolean", default: false }, deadlineMs: { type: "integer", minimum: 50, maximum: 600_000, default: Constants.requestDeadlineMs },
+          continues: { enum: ["exact", "no"], default: "no" }, prefixBytes: { type: "integer", minimum: 0, maximum: 65_536, default: 1024 },
+        },
+      },
+    },
+    clock: {
+      type: "object", additionalProperties: false, required: ["deltaMs", "epsilonMs", "bigDeltaMs"],
+      properties: {
+        deltaMs: { type: "number", exclusiveMinimum: 0, maximum: 1000 }, epsilonMs: { type: "number", exclusiveMinimum: 0, maximum: 1000 },
+        bigDeltaMs: { type: "number", exclusiveMinimum: 0, maximum: 5000 },
+      },
+    },
+  },
+};
+const names = { type: "array", items: { type: "string", minLength: 1, maxLength: 80 }, uniqueItems: true };
+const policiesSchema = {
+  type: "array", maxItems: 200,
+  items: {
+    type: "object", additionalProperties: false, required: ["match"],
+    anyOf: [{ required: ["order"] }, { required: ["land"] }, { required: ["limit"] }],
+    properties: {
+      match: { type: "object", additionalProperties: false, properties: { binding: name, kind: { enum: ["lookup", "stream", "item"] }, caller: { type: "string", maxLength: 120 } } },
+      order: { type: "integer", minimum: 0, maximum: 1000 },
+      land: { type: "object", additionalProperties: false, minProperties: 1, properties: { districts: names, avoid: names } },
+      limit: { type: "integer", minimum: 1, maximum: 100_000 },
+    },
+  },
+};
+const move = (kind: string, properties: Record<string, unknown>, required: string[]): unknown => ({
+  if: { properties: { kind: { const: kind } }, required: ["kind"] },
+  then: { additionalProperties: false, required: ["kind", ...required], properties: { kind: {}, ...properties } },
+});
+const text = { type: "string", minLength: 1, maxLength: 80 };
+const calendarSchema = {
+  type: "object", additionalProperties: false, required: ["due", "move"],
+  properties: {
+    due: { type: "string" },
+    move: {
+      type: "object", required: ["kind"], properties: { kind: { enum: ["release", "drain", "undrain", "retire", "manifest"] } },
+      allOf: [
+        move("release", { pool: name, version: text, overMs: { type: "integer", minimum: 0, maximum: 86_400_000, default: 0 } }, ["pool", "version"]),
+        move("drain", { district: text, until: { type: "number" } }, ["district"]),
+        move("undrain", { district: text }, ["district"]),
+        move("retire", { store: text }, ["store"]),
+        move("manifest", { ifVersion: { type: "integer", minimum: 0 }, doc: manifestSchema }, ["ifVersion", "doc"]),
+      ],
+    },
+  },
+};
+const count = { type: "integer", minimum: 0, maximum: 1_000_000 };
+const announcementSchema = {
+  type: "object", additionalProperties: false, required: ["address", "pool", "district", "capacity"],
+  properties: {
+    id: text, address: { type: "string", pattern: "^[0-9.]+:[0-9]{1,5}$" }, pool: name, district: text, version: { type: "string", maxLength: 80, default: "" },
+    capacity: { type: "integer", minimum: 1, maximum: 10_000 }, active: { ...count, default: 0 }, waiting: { ...count, default: 0 }, instance: { type: "string", minLength: 1, maxLength: 80 },
+  },
+};
+const lotSchema = {
+  type: "object", additionalProperties: false, required: ["binding", "items"],
+  properties: { id: { type: "string", pattern: "^[A-Za-z0-9._-]{1,120}$" }, binding: name, items: { type: "array", minItems: 1, maxItems: Constants.lotItemsMax } },
+};
+const ajv = new Ajv({ allErrors: true, useDefaults: true, strict: false });
+const compiled = {
+  manifest: ajv.compile(manifestSchema), policies: ajv.compile(policiesSchema), calendar: ajv.compile(calendarSchema),
+  announcement: ajv.compile(announcementSchema), lot: ajv.compile(lotSchema),
+};
+function run<T>(check: ValidateFunction, what: string, candidate: unknown): Result<T> {
+  if (check(candidate)) return Fault.ok(candidate as T);
+  const paths = (check.errors ?? [])
+    .filter((error) => error.keyword !== "if")
+    .map((error) => `${error.instancePath || "/"}${error.keyword === "additionalProperties" ? `/${error.params.additionalProperty}` : ""}: ${error.message}${error.params.allowedValues ? ` (${error.params.allowedValues.join(", ")})` : ""}`);
+  return { ok: false, fault: { tag: "invalid", step: `check ${what}`, member: "operator", detail: `${what} is wrong`, paths: [...new Set(paths)] } };
+}
+
+/**
+ * Checks of what comes from outside; defaults are filled in.
+ *
+ * @example
+ * const checked = OperatorSchemas.manifest({ bindings: {} });
+ * if (!checked.ok) Http.problem(incoming, checked.fault);
+ */
+export const OperatorSchemas = {
+  manifest: (candidate: unknown): Result<Manifest> => run(compiled.manifest, "manifest", candidate),
+  policies: (candidate: unknown): Result<PolicyLine[]> => run(compiled.policies, "policies", candidate),
+  /** Due becomes milliseconds; "now" is now. @example OperatorSchemas.calendar({ due: "now", move }, Date.now()) */
+  calendar(candidate: unknown, now: number): Result<{ due: number; move: Move }> {
+    const checked = run<{ due: string; move: Move }>(compiled.calendar, "calendar entry", candidate);
+    if (!checked.ok) return checked;
+    const due = checked.value.due === "now" ? now : Date.parse(checked.value.due);
+    if (!Number.isFinite(due)) return { ok: false, fault: { tag: "invalid", step: "check calendar entry", member: "operator", detail: "calendar entry is wrong", paths: ['/due: must be a date and time, or "now"'] } };
+    return Fault.ok({ due, move: checked.value.move });
+  },
+  announcement: (candidate: unknown): Result<Announcement> => run(compiled.announcement, "announcement", candidate),
+  lot: (candidate: unknown): Result<{ id?: string; binding: string; items: unknown[] }> => run(compiled.lot, "lot", candidate),
+};
--- /dev/null
+++ b/src/adapters/replicaHttp.ts
@@ -0,0 +1,105 @@
+import { Constants } from "../constants";
+import { Task } from "../csp/csp";
+import { Env, EnvTools, HttpReply } from "../env/env";
+import { Fault, Result } from "../core/fault";
+import { Replica } from "../core/frame";
+
+export type Delivery = { path: string; id: string; round: number; body: string; pieces: string[]; deadlineMs: number };
+
+/** One opened stream of a replica: pieces one by one. */
+export class ReplicaStream {
+  private held = "";
+  private size = 0;
+  constructor(
+    private readonly env: Env,
+    private readonly replica: Replica,
+    private readonly reply: HttpReply,
+  ) {}
+  /** Next pieces, or undefined at the proper end. @example const pieces = yield* stream.next(3000); */
+  *next(withinMs: number): Task<Result<string[] | undefined>> {
+    const until = this.env.mono() + withinMs;
+    const pieces: string[] = [];
+    for (;;) {
+      for (let at = this.held.indexOf("\n"); at >= 0; at = this.held.indexOf("\n")) {
+        const line = this.held.slice(0, at);
+        this.held = this.held.slice(at + 1);
+        if (line.trim() === "") continue;
+        let told: { piece?: unknown; end?: unknown };
+        try {
+          told = JSON.parse(line);
+        } catch {
+          return this.fail("invalid", "reply is not JSON lines");
+        }
+        if (told && typeof told.piece === "string") pieces.push(told.piece);
+        else if (told && told.end === true) {
+          if (pieces.length === 0) return Fault.ok(undefined);
+          this.held = line + "\n" + this.held; // the end is told after its pieces
+          return Fault.ok(pieces);
+        } else return this.fail("invalid", "line is neither piece nor end");
+      }
+      if (pieces.length > 0) return Fault.ok(pieces);
+      const chunk = yield* EnvTools.takeWithin(this.env, this.reply.chunks, until - this.env.mono());
+      if (chunk === undefined) return this.fail("timeout", "replica fell silent");
+      if (chunk === null) return this.fail("broken", "replica ended without saying so");
+      this.size += chunk.length;
+      if (this.size > Constants.replyLimitBytes) return this.fail("invalid", "reply over the limit");
+      this.held += chunk.toString("utf8");
+    }
+  }
+  /** @example stream.abort(); */
+  abort(): void {
+    this.reply.abort();
+  }
+  private fail(tag: "invalid" | "timeout" | "broken", detail: string): Result<undefined> {
+    this.reply.abort();
+    return Fault.fail(tag, "read replica", this.replica.id, detail);
+  }
+}
+
+const head = (delivery: Delivery): Record<string, string> => ({
+  "x-request-id": delivery.id, "x-round": String(delivery.round), "x-deadline-ms": String(Math.max(1, Math.round(delivery.deadlineMs))),
+});
+/** Only a replica's plain word counts as "not accepted"; any other refusal may have run. */
+const notAccepted = (reply: HttpReply): boolean => (reply.status === 429 || reply.status === 503) && reply.headers["x-accepted"] === "no";
+
+/**
+ * How replicas are spoken to: JSON in; for a stream JSON lines of pieces and an end, else one JSON body.
+ *
+ * @example
+ * const opened = yield* ReplicaHttp.stream(env, replica, delivery);
+ * const looked = yield* ReplicaHttp.single(env, replica, delivery);
+ */
+export const ReplicaHttp = {
+  *stream(env: Env, replica: Replica, delivery: Delivery): Task<Result<ReplicaStream>> {
+    const body = delivery.pieces.length > 0 ? JSON.stringify({ ...JSON.parse(delivery.body), continueFrom: delivery.pieces }) : delivery.body;
+    const replied = yield* env.http(replica.address, {
+      method: "POST", path: delivery.path, headers: { ...head(delivery), accept: "application/x-ndjson" }, body,
+      timeoutMs: Math.min(delivery.deadlineMs, Constants.firstPieceMs),
+    });
+    if (!replied.ok) return replied;
+    if (replied.value.status === 200) return Fault.ok(new ReplicaStream(env, replica, replied.value));
+    const refused = notAccepted(replied.value);
+    replied.value.abort();
+    return Fault.fail(refused ? "refused" : "broken", "deliver", replica.id, `replica replied ${replied.value.status}`);
+  },
+  *single(env: Env, replica: Replica, delivery: Delivery): Task<Result<{ status: number; body: string }>> {
+    const replied = yield* env.http(replica.address, {
+      method: "POST", path: delivery.path, headers: head(delivery), body: delivery.body, timeoutMs: delivery.deadlineMs,
+    });
+    if (!replied.ok) return replied;
+    const reply = replied.value;
+    if (notAccepted(reply)) {
+      reply.abort();
+      return Fault.fail("refused", "deliver", replica.id, "not accepted");
+    }
+    const body = yield* EnvTools.bodyOf(env, reply, Constants.replyLimitBytes, delivery.deadlineMs);
+    if (body === undefined) return Fault.fail("broken", "read replica", replica.id, "reply broken, too long or too slow");
+    if (reply.status >= 500) return Fault.fail("broken", "deliver", replica.id, `replica replied ${reply.status}`);
+    try {
+      JSON.parse(body);
+    } catch {
+      return Fault.fail("invalid", "read replica", replica.id, "reply is not JSON");
+    }
+    return Fault.ok({ status: reply.status, body });
+  },
+};
--- /dev/null
+++ b/src/agent/agentNode.ts
@@ -0,0 +1,64 @@
+import { Constants } from "../constants";
+import { Task } from "../csp/csp";
+import { Env, EnvTools } from "../env/env";
+import { Fault, Result } from "../core/fault";
+import { Host } from "../core/host";
+import { Node } from "../core/node";
+import { Settings } from "../core/settings";
+import { OperatorHttp } from "../adapters/operatorHttp";
+import { Putter } from "../store/putter";
+
+/* eslint-disable @typescript-eslint/no-explicit-any */
+/**
+ * The agent beside an ingress: member of the fleet, and feeder of whole frames over loopback.
+ *
+ * @example
+ * const started = yield* AgentNode.start(env, settings);
+ */
+export class AgentNode {
+  private feeds = 0;
+  private constructor(
+    readonly env: Env,
+    readonly settings: Settings,
+    readonly node: Node,
+  ) {}
+  /** @example yield* AgentNode.start(env, settings) */
+  static *start(env: Env, settings: Settings): Task<Result<AgentNode>> {
+    const started = yield* Node.start(env, settings, "agent");
+    if (!started.ok) return started;
+    const agent = new AgentNode(env, settings, started.value);
+    const host = Host.of(agent.node);
+    const { rpc } = agent.node;
+    rpc.handle("agent.feed", (body) => agent.feed(body));
+    rpc.handle("agent.announce", (body) => host.announce(body));
+    rpc.handle("agent.goodbye", (body) => host.goodbye(body.id));
+    rpc.handle("agent.tell", function* (body) {
+      agent.node.news.tell(body.key, body.value, body.grantMs, true);
+      return Fault.ok(true);
+    });
+    const http = yield* OperatorHttp.serve(env, settings.http, agent.node, {
+      ready: () => (agent.node.stopping ? "stopping" : agent.node.news.frame ? undefined : "no control frame yet"),
+      metrics: () => ({ members: agent.node.membership.alive().length, replicas: agent.node.frame().replicas.length, feeds: agent.feeds, frame_index: agent.node.news.frame?.index ?? 0, probes: agent.node.membership.probes, dropped_datagrams: agent.node.membership.dropped }),
+      ledgerSource: new Putter(env, rpc, agent.node.self.id, () => agent.node.frame()),
+    });
+    if (!http.ok) return http;
+    return Fault.ok(agent);
+  }
+  /** A whole frame as soon as there is a newer one; the control part is left out if the ingress has it. */
+  private *feed(body: { seen: number; controlIndex: number }): Task<Result<any>> {
+    this.feeds += 1;
+    const until = this.env.mono() + Constants.feedWaitMs;
+    while (this.node.frame().number === body.seen && this.env.mono() < until) yield* EnvTools.sleep(this.env, Constants.feedTickMs);
+    const frame = this.node.frame();
+    return Fault.ok({ ...frame, control: frame.control?.index === body.controlIndex ? undefined : frame.control, stopping: this.node.stopping });
+  }
+  /** SIGTERM. @example yield* agent.stop(); */
+  *stop(): Task<void> {
+    this.env.log(1002);
+    this.node.stopping = true;
+    yield* EnvTools.sleep(this.env, 300);
+    this.node.membership.leave();
+    yield* EnvTools.sleep(this.env, 100);
+    this.env.log(1003);
+  }
+}
--- /dev/null
+++ b/src/cli/operatorCommands.ts
@@ -0,0 +1,137 @@
+import * as fs from "fs";
+import * as http from "http";
+import type { Sade } from "sade";
+import { OperatorSchemas } from "../adapters/operatorSchemas";
+import { Events } from "../core/events";
+
+type Said = { status: number; headers: http.IncomingHttpHeaders; body: any };
+const usual = "127.0.0.1:8080";
+function ask(node: string, method: string, path: string, body?: unknown, headers: Record<string, string> = {}): Promise<Said> {
+  return new Promise((resolve, reject) => {
+    const text = body === undefined ? undefined : JSON.stringify(body);
+    const request = http.request(`http://${node}${path}`, { method, headers: { ...(text === undefined ? {} : { "content-type": "application/json", "content-length": Buffer.byteLength(text) }), ...headers }, timeout: 15_000 }, (response) => {
+      const chunks: Buffer[] = [];
+      response.on("data", (chunk: Buffer) => chunks.push(chunk));
+      response.on("end", () => {
+        const said = Buffer.concat(chunks).toString("utf8");
+        try {
+          resolve({ status: response.statusCode ?? 0, headers: response.headers, body: JSON.parse(said) });
+        } catch {
+          resolve({ status: response.statusCode ?? 0, headers: response.headers, body: said });
+        }
+      });
+    });
+    request.on("timeout", () => request.destroy(new Error("no answer in time")));
+    request.on("error", reject);
+    request.end(text);
+  });
+}
+const print = (text: string): void => void process.stdout.write(`${text}\n`);
+/** 0 well, 1 refused or failed, 2 wrong use, 3 not reached, 4 fate unknown. */
+function finish(said: Said): void {
+  if (said.status >= 200 && said.status < 300) return;
+  const problem = said.body ?? {};
+  process.stderr.write(`${problem.code ?? said.status}: ${problem.detail ?? said.body}${problem.step ? ` (step ${problem.step}, member ${problem.member})` : ""}\n`);
+  for (const path of problem.paths ?? []) process.stderr.write(`  ${path}\n`);
+  if (problem.changeId) process.stderr.write(`  change id ${problem.changeId}\n`);
+  process.exitCode = said.status === 504 ? 4 : said.status === 400 || said.status === 428 ? 2 : 1;
+}
+async function reach(work: () => Promise<void>): Promise<void> {
+  try {
+    await work();
+  } catch (error) {
+    process.stderr.write(`not reached: ${(error as Error).message}\n`);
+    process.exitCode = 3;
+  }
+}
+const file = (name: string): unknown => {
+  try {
+    return JSON.parse(fs.readFileSync(name, "utf8"));
+  } catch (error) {
+    process.stderr.write(`${name}: ${(error as Error).message}\n`);
+    process.exit(2);
+  }
+};
+const reading = async (options: any, path: string, show: (body: any) => void): Promise<void> =>
+  reach(async () => {
+    const said = await ask(options.node, "GET", path);
+    if (said.status === 200) {
+      if (options.json || typeof said.body === "string") print(typeof said.body === "string" ? said.body : JSON.stringify(said.body));
+      else show(said.body);
+    }
+    finish(said);
+  });
+const changing = async (options: any, method: string, path: string, body: unknown, version: number | undefined): Promise<void> =>
+  reach(async () => {
+    let against = version;
+    if (against === undefined) {
+      const now = await ask(options.node, "GET", path);
+      against = now.status === 404 ? 0 : now.body.version;
+    }
+    const said = await ask(options.node, method, path, body, { "if-match": `"${against}"`, ...(options.change ? { "x-change-id": String(options.change) } : {}), ...(options.by ? { "x-operator": String(options.by) } : {}) });
+    if (said.status === 200) print(options.json ? JSON.stringify(said.body) : `version ${said.body.version} (change ${said.body.changeId})`);
+    finish(said);
+  });
+const entries = (list: any[]): void => {
+  for (const entry of list) print(`${entry.stamp}  ${entry.subject}: ${entry.decision}${Object.keys(entry.cause).length > 0 ? `  [${Object.entries(entry.cause).map(([key, value]) => `${key} ${value}`).join(", ")}]` : ""}`);
+};
+
+/**
+ * Operators' commands; each talks to any node.
+ *
+ * @example
+ * OperatorCommands.add(program);
+ */
+export const OperatorCommands = {
+  ask,
+  add(program: Sade): void {
+    const command = (usage: string, help: string): Sade => program.command(usage).describe(help).option("-n, --node", "IP:port of any node's HTTP", usual).option("-j, --json", "JSON as it came");
+    const change = (usage: string, help: string): Sade => command(usage, help).option("--if-version", "Version the change was made against (default: the current one)").option("--change", "Change id, to ask after or repeat it").option("--by", "Who asks");
+    const version = (options: any): number | undefined => (options["if-version"] === undefined ? undefined : Number(options["if-version"]));
+    for (const what of ["manifest", "policies"]) {
+      command(`${what} get`, `Shows the ${what} and its version.`).action((options: any) => reading(options, `/v1/${what}`, (body) => print(JSON.stringify(body, null, 2))));
+      change(`${what} put <file>`, `Changes the ${what}.`).action((name: string, options: any) => changing(options, "PUT", `/v1/${what}`, file(name), version(options)));
+      command(`${what} check <file>`, `Checks a ${what} file without sending it.`).action((name: string) => {
+        const checked = what === "manifest" ? OperatorSchemas.manifest(file(name)) : OperatorSchemas.policies(file(name));
+        if (checked.ok) return print(`${name} is well`);
+        for (const path of checked.fault.tag === "invalid" ? checked.fault.paths ?? [] : []) process.stderr.write(`${path}\n`);
+        process.exitCode = 2;
+      });
+    }
+    command("calendar list", "Lists the moves.").action((options: any) =>
+      reading(options, "/v1/calendar", (body) => body.entries.forEach((entry: any) => print(`${entry.id}  due ${new Date(entry.due).toISOString()}  ${entry.move.kind}  ${entry.fate}${entry.detail ? `: ${entry.detail}` : ""}`))));
+    change("calendar put <id> <file>", "Pencils a move: { due, move }.").action((id: string, name: string, options: any) => changing(options, "PUT", `/v1/calendar/${id}`, file(name), version(options)));
+    change("calendar remove <id>", "Takes a move out that has not started.").action((id: string, options: any) => changing(options, "DELETE", `/v1/calendar/${id}`, undefined, version(options)));
+    change("drain <district>", "Drains a district now (a calendar entry due now).").action((district: string, options: any) =>
+      changing(options, "PUT", `/v1/calendar/drain-${district}-${Date.now()}`, { due: "now", move: { kind: "drain", district } }, 0));
+    change("undrain <district>", "Lets work land in a district again.").action((district: string, options: any) =>
+      changing(options, "PUT", `/v1/calendar/undrain-${district}-${Date.now()}`, { due: "now", move: { kind: "undrain", district } }, 0));
+    change("retire <store>", "Moves a store's copies off it, so that it can go.").action((store: string, options: any) =>
+      changing(options, "PUT", `/v1/calendar/retire-${store}-${Date.now()}`, { due: "now", move: { kind: "retire", store } }, 0));
+    change("release <pool> <version>", "Gives new work to a version of a pool.").option("--over", "Milliseconds over which its share grows", 0).action((pool: string, released: string, options: any) =>
+      changing(options, "PUT", `/v1/calendar/release-${pool}-${Date.now()}`, { due: "now", move: { kind: "release", pool, version: String(released), overMs: Number(options.over) } }, 0));
+    command("change <id>", "What became of a change.").action((id: string, options: any) => reading(options, `/v1/changes/${id}`, (body) => print(JSON.stringify(body))));
+    command("ledger", "Reads the ledger in its one order.").option("--after", "Stamp to go on from", "").option("--limit", "Entries", 100).action((options: any) =>
+      reading(options, `/v1/ledger?after=${encodeURIComponent(options.after)}&limit=${options.limit}`, (body) => entries(body.entries)));
+    command("why <id>", "Everything that bears on a request, lot, item, move, change, shard.").action((id: string, options: any) =>
+      reading(options, `/v1/why/${encodeURIComponent(id)}`, (body) => {
+        entries(body.entries);
+        if (body.because.length > 0) print("because of:");
+        entries(body.because);
+      }));
+    command("members", "Who is there.").action((options: any) =>
+      reading(options, "/v1/members", (body) => {
+        for (const member of body.members) print(`${member.program}  ${member.id}  ${member.district}  ${member.address}  ${member.state}`);
+        for (const replica of body.replicas) print(`replica  ${replica.id}  ${replica.pool}  ${replica.district}  ${replica.address}  ${replica.active}/${replica.capacity}  ${replica.version}`);
+        print(`group ${body.group}, frame ${body.frame}, manifest ${body.manifest}, drained: ${body.drained.join(" ") || "none"}, retiring: ${body.retiring.join(" ") || "none"}`);
+      }));
+    command("shards", "Views and copies of every shard.").action((options: any) =>
+      reading(options, "/v1/shards", (body) => body.stores.forEach((store: any) => store.shards.forEach((copy: any) => print(`${store.store}  shard ${copy.shard}  epoch ${copy.epoch}  ${copy.role}  seq ${copy.seq}  lots ${copy.lots}`)))));
+    command("lot <id>", "State of a lot (ask an ingress).").action((id: string, options: any) => reading(options, `/v1/lots/${id}`, (body) => print(JSON.stringify(body, null, 2))));
+    command("metrics", "Metrics of the node.").action((options: any) => reading(options, "/metrics", () => undefined));
+    program.command("events").describe("The catalogue of log events, as Markdown.").action(() => {
+      print("# Log events\n\nWritten by `petrelbeam events`.\n\n| number | level | event | what to do |\n|---|---|---|---|");
+      for (const [number, event] of Object.entries(Events)) print(`| PB${number} | ${event.level} | ${event.text} | ${event.act} |`);
+    });
+  },
+};
--- /dev/null
+++ b/src/constants.ts
@@ -0,0 +1,124 @@
+/**
+ * Every number the system runs by, with its unit and the reason for its value.
+ * Starting values and defaults are ours; docs/measurements.md says what was seen.
+ *
+ * @example
+ * const listingDelay = Constants.bigDeltaMs + 2 * Constants.deltaMs + Constants.epsilonMs;
+ */
+export const Constants = {
+  // --- the paper's three bounds (Birman et al. 2026, section 2.9) ---
+  deltaMs: 25, // ms; δ, greatest clock skew we vouch for: NTP on one site stays well inside it
+  epsilonMs: 50, // ms; ε, relay from first node to a shard member over TCP on one site
+  bigDeltaMs: 250, // ms; Δ, put completion: three synced copies on small disks, with room for a slow sync
+
+  // --- membership (SWIM) ---
+  probePeriodMs: 400, // ms; one member probed a period: a dead one is found by somebody within about one
+  probeTimeoutMs: 150, // ms; direct acknowledgement; three times ε so that a busy member is not asked around for
+  indirectTimeoutMs: 250, // ms; second opinions through third parties
+  secondOpinions: 3, // members; third parties asked before suspicion
+  suspicionMs: 1500, // ms; a suspect may refute; keeps detection under 2.5 s and takeover under 12 s
+  deadKeepMs: 60_000, // ms; a dead or departed member is remembered so that old news can't raise it
+  piggybackUpdates: 8, // updates a datagram; keeps a datagram under one 1500 byte frame... of loopback size
+  piggybackRounds: 6, // times an update is passed on by each node: about 2·log2 of 24 members
+  clockSamples: 9, // samples; median of the last ones is the estimated skew
+  joinRetryMs: 500, // ms; seeds are asked again while nobody is known
+
+  // --- news ---
+  newsFlushMs: 150, // ms; not urgent news waits this long for company
+  newsFanout: 3, // members told at once
+  digestPeriodMs: 700, // ms; digests compared with one member; mends gaps well inside two seconds
+  replicaGrantMs: 4000, // ms; a replica not heard of for this long is not chosen
+  replicaRenewMs: 1200, // ms; an unchanged announcement is passed on this often
+  factGrantMs: 5000, // ms; soft facts (load, liveness) of nodes
+  tombstoneMs: 30_000, // ms; outlives every grant, so a goodbye is never undone by old news
+
+  goodbyeHoldMs: 5000, // ms; a replica without instance names may come back this long after its goodbye
+
+  // --- freezes ---
+  clockJumpMs: 1000, // ms; a timer this late means the process was frozen; grants count as ended
+  clockWatchMs: 200, // ms; how often the watch looks
+
+  // --- control group ---
+  electionMinMs: 900, // ms; shortest silence before a vote is asked for
+  electionSpreadMs: 700, // ms; spread so that two seldom ask at once
+  heartbeatMs: 150, // ms; lead tells the others it is there
+  controlGrantMs: 800, // ms; lead counts its majority as held for this long from before the asking; below electionMinMs
+  appendBatch: 200, // entries; in one append
+  groupLogKeep: 400, // entries; log is folded into a slot past this length
+  proposeTimeoutMs: 1800, // ms; an operator waits this long before fate is called unknown
+  voterGoneMs: 4000, // ms; a voter silent for this long is replaced by a caught-up standby
+  voters: 3, // members; a cut in two of four always leaves two of three on one side
+  foundRetryMs: 300, // ms; founders ask each other again
+  changesKept: 2000, // change outcomes; asked after by change id
+  standbyLagMax: 20, // entries; a standby this close may become a voter
+
+  // --- shards ---
+  shardCount: 8, // shards; twice the store machines, so that a lost one spreads its work
+  copies: 3, // copies; two stores may be lost at once
+  minCopiesForLots: 2, // copies; below this new lots get busy
+  shardGrantMs: 2000, // ms; the lead's grant from every other member of its view
+  shardGrantMarginMs: 250, // ms; the lead stops this much before the grant's end
+  grantRenewMs: 400, // ms; idle renewal, also carries the frontier to the copies
+  replicateTimeoutMs: 900, // ms; a member that does not sync by then makes the lead ask for a new view
+  sealTimeoutMs: 700, // ms; survivors answer a seal by then or stay out
+  statusPeriodMs: 400, // ms; control lead looks at every store
+  viewSettleMs: 2500, // ms; the first views wait this long for stores to be found
+  shardLogKeep: 2000, // entries; log is folded into a slot past this length
+  putBatch: 256, // puts; ordered and synced together
+  shardBufferPuts: 2048, // puts; waiting for order; past this, busy
+  rangeBuckets: 16, // ranges; compared by digest
+  diskReserveBytes: 67_108_864, // bytes; below this free, nothing new is accepted; what was accepted can finish
+  fillEntries: 200, // entries; in one catch-up message
+  repairPeriodMs: 10_000, // ms; copies of a shard are compared
+  retentionLots: 1000, // finished lots a shard keeps
+  retentionLedger: 10_000, // ledger entries a shard keeps
+  retentionRequests: 2000, // finished requests and streams a shard keeps, for resume and keys
+  putIdsKept: 10_000, // put ids a shard remembers, to drop repeats
+  lateRounds: 8, // rounds; a late put is stamped anew at most this often
+
+  // --- callers ---
+  bodyLimitBytes: 1_048_576, // bytes; a caller's or operator's body, except a manifest
+  manifestLimitBytes: 8_388_608, // bytes; thousands of bindings
+  replyLimitBytes: 4_194_304, // bytes; a replica that replies more than this has failed
+  frameLimitBytes: 33_554_432, // bytes; one frame between processes
+  changeWaitMs: 6000, // ms; an operator's change is followed through a change of lead this long
+  requestDeadlineMs: 10_000, // ms; when neither caller nor binding says
+  lookupRounds: 3, // rounds; a safe lookup is tried on this many replicas
+  liveBuffer: 64, // requests; waiting for room at one ingress, per class
+  liveWaitMs: 400, // ms; a request that would wait longer is refused at once
+  retryAfterMs: 1000, // ms; least time told with busy
+  streamPatienceMs: 15_000, // ms; a relay goes on through a takeover of its shard
+  feedWaitMs: 400, // ms; agent answers its ingress by then, changed or not
+  feedTickMs: 20, // ms; how often it looks for a newer frame
+  frameStaleMs: 3000, // ms; an ingress without word from its agent holds new work
+  readWaitMs: 2500, // ms; a read past the frontier waits at most this long
+  storeRoundMs: 300, // ms; between rounds while a shard's lead is being found
+  slabSlots: 4096, // continuations; requests at once in one process
+
+  // --- work ---
+  slowStartMs: 6000, // ms; a new replica comes up to its full share over this time
+  slowStartFloor: 0.15, // share; what a replica gets at the start
+  boundedLoad: 1.25, // factor; prefix affinity gives way above this multiple of mean load
+  ejectFailures: 3, // failures in a row; then the replica is left alone
+  ejectMs: 3000, // ms; left alone this long, then tried with one request
+  connectTimeoutMs: 1000, // ms; a replica that does not take a connection
+  firstPieceMs: 3000, // ms; a replica that accepts and stays silent has gone dark
+  pieceGapMs: 3000, // ms; the same between pieces
+  lotWindowMax: 8, // items; in flight per store and pool, at most
+  lotWindowMin: 1, // items; in flight per store while live work crowds
+  orphanPeriodMs: 2500, // ms; leads look for claims that nobody runs
+  lotTickMs: 40, // ms; the dispatcher looks for room
+  lotCrowdHoldMs: 600, // ms; after a sign of crowding the window stays small
+  reservedShare: 0.34, // share; of a pool's slots that lots never take
+  lotItemsMax: 2000, // items; in one lot
+  ledgerFlushMs: 250, // ms; decisions of lookups are put in batches
+  ledgerBatch: 500, // entries; waiting for that; beyond it the oldest are counted as lost
+
+  // --- moves ---
+  movePeriodMs: 250, // ms; the control lead looks for due entries
+  drainSettleMs: 1500, // ms; a drained district is looked at again
+  stopGraceMs: 8000, // ms; after SIGTERM, work in flight may take this long
+
+  // --- logs ---
+  logBufferLines: 1000, // lines; kept in memory for tests and support
+} as const;
--- /dev/null
+++ b/src/control/controlNode.ts
@@ -0,0 +1,241 @@
+import { Constants } from "../constants";
+import { Task } from "../csp/csp";
+import { Env, EnvTools } from "../env/env";
+import { TwoSlots } from "../env/twoSlots";
+import { Fault, Result } from "../core/fault";
+import { Node } from "../core/node";
+import { Settings } from "../core/settings";
+import { OperatorHttp } from "../adapters/operatorHttp";
+import { Putter } from "../store/putter";
+import { Calendar } from "./calendar";
+import { Command, ControlState, Outcome } from "./controlState";
+import { Group } from "./group";
+import { Views } from "./views";
+
+/* eslint-disable @typescript-eslint/no-explicit-any */
+/**
+ * A control member: the group's log, and, while it leads, shard views, due moves and the telling of decisions.
+ *
+ * @example
+ * const started = yield* ControlNode.start(env, settings);
+ */
+export class ControlNode {
+  readonly group: Group;
+  readonly views: Views;
+  readonly calendar: Calendar;
+  private readonly putter: Putter;
+  private constructor(
+    readonly env: Env,
+    readonly settings: Settings,
+    readonly node: Node,
+  ) {
+    this.group = new Group(env, node.rpc, node.self.id, new TwoSlots(env, `${settings.data}/group`), {
+      addressOf: (id) => node.addressOf(id),
+      others: () => node.membership.alive("control").map((member) => member.id).filter((id) => id !== node.self.id),
+      applied: (state, index) => this.applied(state, index),
+    });
+    this.views = new Views(env, node, this.group);
+    this.calendar = new Calendar(env, node, this.group, this.views);
+    this.putter = new Putter(env, node.rpc, node.self.id, () => node.frame());
+  }
+
+  /** @example yield* ControlNode.start(env, settings) */
+  static *start(env: Env, settings: Settings): Task<Result<ControlNode>> {
+    const started = yield* Node.start(env, settings, "control");
+    if (!started.ok) return started;
+    const control = new ControlNode(env, settings, started.value);
+    const opened = yield* control.group.open();
+    if (!opened.ok) {
+      env.log(1006, { reason: opened.fault.detail });
+      return opened;
+    }
+    const { rpc } = control.node;
+    rpc.handle("found.status", function* () {
+      return Fault.ok({ id: control.node.self.id, founded: control.group.founded(), group: control.group.groupId() || control.node.news.frame?.group || "", founders: [...(settings.founders ?? [])].sort() });
+    });
+    rpc.handle("found.commit", function* (body) {
+      if (control.node.news.frame && control.node.news.frame.group !== body.group) return Fault.fail("conflict", "found", control.node.self.id, "a group is known");
+      return yield* control.group.found(body.group, body.voters);
+    });
+    rpc.handle("control.op", (body) => control.operate(body));
+    rpc.handle("control.status", function* () {
+      return Fault.ok({ id: control.node.self.id, role: control.group.role, lead: control.group.lead, voters: control.group.voters(), applied: control.group.applied, holds: control.group.holdsLead() });
+    });
+    control.group.start();
+    EnvTools.keep(env, env.scope, "founding", () => control.foundLoop());
+    EnvTools.keep(env, env.scope, "lead duties", () => control.dutyLoop());
+    EnvTools.keep(env, env.scope, "ledger telling", () => control.tellLoop());
+    control.views.start();
+    control.calendar.start();
+    const http = yield* OperatorHttp.serve(env, settings.http, control.node, {
+      ready: () => (control.node.stopping ? "stopping" : !control.group.founded() ? "no control group yet" : undefined),
+      metrics: () => control.metrics(),
+      ledgerSource: control.putter,
+    });
+    if (!http.ok) return http;
+    return Fault.ok(control);
+  }
+  /** @example control.metrics().is_lead */
+  metrics(): Record<string, number> {
+    return {
+      is_lead: this.group.holdsLead() ? 1 : 0, applied_index: this.group.applied, elections: this.group.elections,
+      voters: this.group.voters().length, views_changed: this.views.changed, moves_run: this.calendar.ran,
+    };
+  }
+  private applied(state: ControlState, index: number): void {
+    if (state.group) this.node.news.offerFrame(ControlState.frame(state, index));
+  }
+
+  /** Founding: every founder empty, all agreed, and nobody in reach knows a group. */
+  private *foundLoop(): Task<void> {
+    const founders = [...(this.settings.founders ?? [])].sort();
+    let told = "";
+    while (!this.group.founded()) {
+      yield* EnvTools.sleep(this.env, Constants.foundRetryMs);
+      const hold = (reason: string): void => {
+        if (reason !== told) this.env.log(1302, { reason });
+        told = reason;
+      };
+      if (this.node.news.frame) {
+        hold(`a group is known here; waiting to be taken in as standby`);
+        continue;
+      }
+      // the first founder proposes; the others wait for it
+      if (founders[0] !== this.settings.address) continue;
+      const ids: string[] = [];
+      for (const address of founders) {
+        if (address === this.settings.address) {
+          ids.push(this.node.self.id);
+          continue;
+        }
+        const status = yield* this.node.rpc.ask(address, "found.status", {}, 500);
+        if (!status.ok) hold(`founder ${address} does not answer`);
+        else if (status.value.founded || status.value.group) hold(`founder ${address} knows group ${status.value.group}`);
+        else if (JSON.stringify(status.value.founders) !== JSON.stringify(founders)) hold(`founder ${address} names other founders`);
+        else ids.push(status.value.id);
+      }
+      if (ids.length < founders.length) continue;
+      let known = "";
+      for (const member of this.node.membership.alive()) {
+        if (member.id === this.node.self.id) continue;
+        const frame = yield* this.node.rpc.ask(member.address, "frame.fetch", { have: 0 }, 500);
+        if (frame.ok && frame.value) known = member.id;
+      }
+      if (known) {
+        hold(`member ${known} knows a group`);
+        continue;
+      }
+      const group = EnvTools.id(this.env, "group");
+      const voters = ids.slice(0, Constants.voters);
+      this.env.point(36);
+      const own = yield* this.group.found(group, voters);
+      if (!own.ok) {
+        this.env.log(1404, { fault: own.fault });
+        continue;
+      }
+      this.env.log(1301, { group, voters });
+      for (const address of founders)
+        if (address !== this.settings.address) yield* this.node.rpc.ask(address, "found.commit", { group, voters }, 1000);
+    }
+    for (;;) yield* EnvTools.sleep(this.env, 3_600_000);
+  }
+
+  /** Voters that are gone are replaced by a caught-up standby, one change at a time. */
+  private *dutyLoop(): Task<void> {
+    for (;;) {
+      yield* EnvTools.sleep(this.env, 500);
+      const { group, node } = this;
+      if (!group.holdsLead() || this.env.mono() - group.leadSince < Constants.voterGoneMs) continue;
+      const voters = group.voters();
+      const gone = voters.find((id) => {
+        const member = node.membership.find(id);
+        return id !== node.self.id && (!member || ((member.state === "dead" || member.state === "left") && node.membership.stateAge(id) > Constants.voterGoneMs - Constants.suspicionMs));
+      });
+      let next: string[] | undefined;
+      if (voters.length > Constants.voters) {
+        const surplus = gone ?? [...voters].filter((id) => id !== node.self.id).sort((left, right) => group.lag(right) - group.lag(left))[0];
+        next = voters.filter((id) => id !== surplus);
+      } else if (gone || voters.length < Constants.voters) {
+        const standby = node.membership.alive("control").map((member) => member.id).find((id) => !voters.includes(id) && id !== node.self.id && group.lag(id) <= Constants.standbyLagMax);
+        if (standby) next = [...voters, standby];
+      }
+      if (!next) continue;
+      const outcome = yield* group.propose({ tag: "voters", voters: next }, Constants.proposeTimeoutMs);
+      if (outcome.ok) this.env.log(1305, { voters: next });
+    }
+  }
+  /** Decisions of control reach the ledger keyed by log index, so that a repeat adds nothing. */
+  private *tellLoop(): Task<void> {
+    for (;;) {
+      yield* EnvTools.sleep(this.env, 200);
+      if (!this.group.holdsLead()) continue;
+      const untold = this.group.state.untold.slice(0, 50);
+      if (untold.length === 0 || Object.keys(this.group.state.views).length < Constants.shardCount) continue;
+      let upTo = 0;
+      for (const decision of untold) {
+        const told = yield* this.putter.put(this.putter.shardOf(decision.subject), `control-${decision.index}`, [{ op: "note", entries: [{ subject: decision.subject, decision: decision.decision, cause: { note: decision.cause } }] }], {}, 5000);
+        if (!told.ok) break;
+        upTo = decision.index;
+      }
+      this.env.point(37);
+      if (upTo > 0) yield* this.group.propose({ tag: "told", upTo }, Constants.proposeTimeoutMs);
+    }
+  }
+
+  /** What operators ask for; only the lead answers, and only while it holds its grant. */
+  private *operate(body: any): Task<Result<any>> {
+    const { group } = this;
+    if (!group.holdsLead()) return Fault.fail("notLead", "control op", this.node.self.id, group.role === "lead" ? "" : this.node.addressOf(group.lead) ?? "");
+    const state = group.state;
+    switch (body.op) {
+      case "read":
+        return Fault.ok(this.read(state, body.what, body.id));
+      case "change": {
+        const command = body.command as Command;
+        const known = "changeId" in command ? state.changes[command.changeId] : undefined;
+        const outcome: Result<Outcome> = known ? Fault.ok(known) : yield* group.propose(command, Constants.proposeTimeoutMs);
+        if (!outcome.ok) return outcome;
+        switch (outcome.value.tag) {
+          case "done":
+            this.env.log(1306, { tag: command.tag, version: outcome.value.version });
+            return Fault.ok({ version: outcome.value.version });
+          case "conflict":
+            return Fault.fail("conflict", "change", this.node.self.id, `current version is ${outcome.value.version}`);
+          case "refused":
+            return Fault.fail("invalid", "change", this.node.self.id, outcome.value.detail);
+          default: {
+            const never: never = outcome.value;
+            return never;
+          }
+        }
+      }
+      default:
+        return Fault.fail("invalid", "control op", this.node.self.id, `unknown op ${String(body.op)}`);
+    }
+  }
+  private read(state: ControlState, what: string, id: string): unknown {
+    switch (what) {
+      case "manifest":
+        return state.manifest;
+      case "policies":
+        return state.policies;
+      case "calendar":
+        return id ? state.calendar[id] ?? null : { entries: Object.values(state.calendar).sort((left, right) => left.due - right.due) };
+      case "change":
+        return state.changes[id] ?? null;
+      case "views":
+        return state.views;
+      default:
+        return null;
+    }
+  }
+  /** SIGTERM: the lead is left to the others. @example yield* control.stop(); */
+  *stop(): Task<void> {
+    this.env.log(1002);
+    this.node.stopping = true;
+    yield* EnvTools.sleep(this.env, 300);
+    this.node.membership.leave();
+    yield* EnvTools.sleep(this.env, 100);
+    this.env.log(1003);
+  }
+}
--- /dev/null
+++ b/src/control/controlState.ts
@@ -0,0 +1,194 @@
+import { Constants } from "../constants";
+
+export type Binding = {
+  kind: "lookup" | "stream" | "item";
+  pool: string;
+  path: string;
+  safe: boolean; // safe to repeat; unknown means no
+  deadlineMs: number;
+  continues: "exact" | "no"; // whether a replica can go on exactly after given pieces
+  prefixBytes: number; // how much of the prompt decides affinity
+};
+export type Manifest = { bindings: Record<string, Binding>; clock?: { deltaMs: number; epsilonMs: number; bigDeltaMs: number } };
+export type PolicyLine = {
+  match: { binding?: string; kind?: Binding["kind"]; caller?: string };
+  order?: number; // who goes first: lower before higher
+  land?: { districts?: string[]; avoid?: string[] }; // where work may land
+  limit?: number; // requests at once at one ingress
+};
+export type Fate = "pencilled" | "started" | "finished" | "failed" | "removed";
+export type CalendarEntry = { id: string; due: number; version: number; fate: Fate; detail?: string; move: Move };
+export type Move =
+  | { kind: "release"; pool: string; version: string; overMs: number }
+  | { kind: "drain"; district: string; until?: number }
+  | { kind: "undrain"; district: string }
+  | { kind: "retire"; store: string }
+  | { kind: "manifest"; ifVersion: number; doc: Manifest };
+export type View = { shard: number; epoch: number; members: string[]; lead: string };
+export type Release = { version: string; startedAt: number; overMs: number };
+export type Outcome = { tag: "done"; version: number } | { tag: "conflict"; version: number } | { tag: "refused"; detail: string };
+export type Decision = { index: number; subject: string; decision: string; cause: string };
+export type Command =
+  | { tag: "noop" }
+  | { tag: "found"; group: string; voters: string[] }
+  | { tag: "voters"; voters: string[] }
+  | { tag: "manifest"; changeId: string; ifVersion: number; doc: Manifest; by: string }
+  | { tag: "policies"; changeId: string; ifVersion: number; doc: PolicyLine[]; by: string }
+  | { tag: "pencil"; changeId: string; ifVersion: number; id: string; due: number; move: Move; by: string }
+  | { tag: "erase"; changeId: string; ifVersion: number; id: string; by: string }
+  | { tag: "move"; id: string; from: Fate; to: Fate; detail: string; at: number }
+  | { tag: "view"; view: View; reason: string }
+  | { tag: "told"; upTo: number };
+export type ControlState = {
+  group: string;
+  voters: string[];
+  manifest: { version: number; doc: Manifest };
+  policies: { version: number; doc: PolicyLine[] };
+  calendar: Record<string, CalendarEntry>;
+  views: Record<string, View>;
+  drained: string[];
+  retiring: string[];
+  releases: Record<string, Release>;
+  changes: Record<string, Outcome>;
+  changeOrder: string[];
+  untold: Decision[];
+};
+/** What every node is told of the control state. */
+export type ControlFrame = Pick<ControlState, "group" | "voters" | "manifest" | "policies" | "views" | "drained" | "retiring" | "releases"> & {
+  index: number;
+};
+
+const decide = (state: ControlState, index: number, subject: string, decision: string, cause: string): void => {
+  state.untold.push({ index, subject, decision, cause });
+};
+
+/** The version check and the memory of outcomes that every operator's change goes through. */
+function change(state: ControlState, index: number, command: { changeId: string; ifVersion: number; by: string }, subject: string, current: number, apply: () => number): Outcome {
+  const earlier = state.changes[command.changeId];
+  if (earlier) return earlier;
+  const outcome: Outcome = command.ifVersion === current ? { tag: "done", version: apply() } : { tag: "conflict", version: current };
+  state.changes[command.changeId] = outcome;
+  state.changeOrder.push(command.changeId);
+  while (state.changeOrder.length > Constants.changesKept) delete state.changes[state.changeOrder.shift()!];
+  decide(state, index, subject, outcome.tag === "done" ? `accepted as version ${outcome.version}` : `refused: made against version ${command.ifVersion}, current is ${current}`, `change ${command.changeId} by ${command.by}`);
+  return outcome;
+}
+
+function applyMove(state: ControlState, index: number, command: Extract<Command, { tag: "move" }>): Outcome {
+  const entry = state.calendar[command.id];
+  if (!entry || entry.fate !== command.from) return { tag: "refused", detail: `move is ${entry ? entry.fate : "not there"}` };
+  let fate = command.to;
+  let detail = command.detail;
+  const move = entry.move;
+  switch (move.kind) {
+    case "drain":
+      if (fate === "started" && !state.drained.includes(move.district)) state.drained = [...state.drained, move.district];
+      if (fate === "finished" && move.until !== undefined) state.drained = state.drained.filter((district) => district !== move.district);
+      break;
+    case "undrain":
+      if (fate === "finished") state.drained = state.drained.filter((district) => district !== move.district);
+      break;
+    case "retire":
+      if (fate === "started" && !state.retiring.includes(move.store)) state.retiring = [...state.retiring, move.store];
+      if (fate === "failed") state.retiring = state.retiring.filter((store) => store !== move.store);
+      break;
+    case "release":
+      if (fate === "started") state.releases = { ...state.releases, [move.pool]: { version: move.version, startedAt: command.at, overMs: move.overMs } };
+      break;
+    case "manifest":
+      if (fate === "finished") {
+        if (move.ifVersion === state.manifest.version) state.manifest = { version: state.manifest.version + 1, doc: move.doc };
+        else {
+          fate = "failed";
+          detail = `made against version ${move.ifVersion}, current is ${state.manifest.version}`;
+        }
+      }
+      break;
+    default: {
+      const never: never = move;
+      return never;
+    }
+  }
+  state.calendar = { ...state.calendar, [entry.id]: { ...entry, fate, detail, version: entry.version + 1 } };
+  decide(state, index, `move ${entry.id}`, `${move.kind} ${fate}${detail ? `: ${detail}` : ""}`, `calendar entry ${entry.id} due ${new Date(entry.due).toISOString()}`);
+  return { tag: "done", version: entry.version + 1 };
+}
+
+/**
+ * The control group's state machine: the operator's word and the shard views.
+ *
+ * @example
+ * const state = ControlState.empty();
+ * ControlState.apply(state, 1, { tag: "found", group: "g", voters: ["a"] });
+ */
+export const ControlState = {
+  empty: (): ControlState => ({
+    group: "", voters: [], manifest: { version: 0, doc: { bindings: {} } }, policies: { version: 0, doc: [] },
+    calendar: {}, views: {}, drained: [], retiring: [], releases: {}, changes: {}, changeOrder: [], untold: [],
+  }),
+  /** @example ControlState.apply(state, 7, command).tag === "done" */
+  apply(state: ControlState, index: number, command: Command): Outcome {
+    switch (command.tag) {
+      case "noop":
+        return { tag: "done", version: index };
+      case "found":
+        state.group = command.group;
+        state.voters = command.voters;
+        decide(state, index, "control group", `founded with voters ${command.voters.join(", ")}`, "all founders empty and agreed");
+        return { tag: "done", version: index };
+      case "voters":
+        state.voters = command.voters;
+        decide(state, index, "control group", `voters are ${command.voters.join(", ")}`, "voter replaced or removed");
+        return { tag: "done", version: index };
+      case "manifest":
+        return change(state, index, command, "manifest", state.manifest.version, () => {
+          state.manifest = { version: state.manifest.version + 1, doc: command.doc };
+          return state.manifest.version;
+        });
+      case "policies":
+        return change(state, index, command, "policies", state.policies.version, () => {
+          state.policies = { version: state.policies.version + 1, doc: command.doc };
+          return state.policies.version;
+        });
+      case "pencil": {
+        const entry = state.calendar[command.id];
+        if (entry && entry.fate !== "pencilled" && entry.fate !== "removed" && !state.changes[command.changeId])
+          return { tag: "refused", detail: `move is ${entry.fate}` };
+        return change(state, index, command, `move ${command.id}`, entry?.version ?? 0, () => {
+          const version = (entry?.version ?? 0) + 1;
+          state.calendar = { ...state.calendar, [command.id]: { id: command.id, due: command.due, version, fate: "pencilled", move: command.move } };
+          return version;
+        });
+      }
+      case "erase": {
+        const entry = state.calendar[command.id];
+        if (!entry || (entry.fate !== "pencilled" && !state.changes[command.changeId])) return { tag: "refused", detail: `move is ${entry ? entry.fate : "not there"}` };
+        return change(state, index, command, `move ${command.id}`, entry.version, () => {
+          state.calendar = { ...state.calendar, [command.id]: { ...entry, fate: "removed", version: entry.version + 1 } };
+          return entry.version + 1;
+        });
+      }
+      case "move":
+        return applyMove(state, index, command);
+      case "view": {
+        const current = state.views[command.view.shard];
+        if ((current?.epoch ?? 0) >= command.view.epoch) return { tag: "conflict", version: current!.epoch };
+        state.views = { ...state.views, [command.view.shard]: command.view };
+        decide(state, index, `shard ${command.view.shard}`, `view ${command.view.epoch}: ${command.view.members.join(", ")} led by ${command.view.lead}`, command.reason);
+        return { tag: "done", version: command.view.epoch };
+      }
+      case "told":
+        state.untold = state.untold.filter((decision) => decision.index > command.upTo);
+        return { tag: "done", version: index };
+      default: {
+        const never: never = command;
+        return never;
+      }
+    }
+  },
+  /** @example ControlState.frame(state, 12).index // 12 */
+  frame: (state: ControlState, index: number): ControlFrame => ({
+    group: state.group, index, voters: state.voters, manifest: state.manifest, policies: state.policies,
+    views: state.views, drained: state.drained, retiring: state.retiring, releases: state.releases,
+  }),
+};
--- /dev/null
+++ b/src/control/group.ts
@@ -0,0 +1,463 @@
+import { Constants } from "../constants";
+import { Chan, Csp, Task } from "../csp/csp";
+import { Env, EnvTools } from "../env/env";
+import { TwoSlots } from "../env/twoSlots";
+import { Fault, Result } from "../core/fault";
+import { Rpc } from "../wire/rpc";
+import { Command, ControlState, Outcome } from "./controlState";
+
+type Entry = { index: number; term: number; command: Command };
+type Saved = { term: number; votedFor: string; baseIndex: number; baseTerm: number; base: ControlState; entries: Entry[] };
+type Noted = { tag: "hard"; term: number; votedFor: string } | { tag: "entries"; entries: Entry[] } | { tag: "cut"; from: number };
+type Append = {
+  group: string; term: number; lead: string; prevIndex: number; prevTerm: number; entries: Entry[]; commit: number;
+  whole?: { index: number; term: number; state: ControlState };
+};
+type Follower = { next: number; match: number; heardAt: number; wake: Chan<true> };
+export type GroupHooks = {
+  addressOf(id: string): string | undefined;
+  /** Every control member now alive, ourselves left out: voters or standbys. */
+  others(): string[];
+  applied(state: ControlState, index: number): void;
+};
+
+/**
+ * The control group's log: election with terms and pre-vote, entries synced on a majority before any
+ * reply, voters changed one at a time through the log itself.
+ *
+ * @example
+ * const group = new Group(env, rpc, "node-1", new TwoSlots(env, "data/control"), hooks);
+ * yield* group.open();
+ * group.start();
+ * const outcome = yield* group.propose({ tag: "noop" }, 1500);
+ */
+export class Group {
+  private term = 0;
+  private votedFor = "";
+  private entries: Entry[] = [];
+  private baseIndex = 0;
+  private baseTerm = 0;
+  private base = ControlState.empty();
+  private synced = 0;
+  private unsynced: Entry[] = [];
+  commit = 0;
+  applied = 0;
+  state = ControlState.empty();
+  role: "follower" | "candidate" | "lead" = "follower";
+  lead = "";
+  leadSince = 0;
+  private heardAt: number;
+  private followers = new Map<string, Follower>();
+  private waiting = new Map<number, { term: number; reply: Chan<Result<Outcome>> }>();
+  private writeWake: Chan<true> = Csp.sliding(1);
+  private diskToken: Chan<true> = Csp.chan(1);
+  private nextElection = 0;
+  elections = 0;
+
+  constructor(
+    private readonly env: Env,
+    private readonly rpc: Rpc,
+    private readonly self: string,
+    private readonly slots: TwoSlots,
+    private readonly hooks: GroupHooks,
+  ) {
+    this.heardAt = env.mono();
+    Csp.offer(this.diskToken, true);
+  }
+
+  /** Reads what this member had on disk. @example yield* group.open(); */
+  *open(): Task<Result<true>> {
+    const opened = yield* this.slots.open();
+    if (!opened.ok) return opened;
+    const saved = opened.value.state as Saved | undefined;
+    if (saved) {
+      this.term = saved.term;
+      this.votedFor = saved.votedFor;
+      this.baseIndex = saved.baseIndex;
+      this.baseTerm = saved.baseTerm;
+      this.base = saved.base;
+      this.entries = saved.entries;
+    }
+    for (const noted of opened.value.records as Noted[]) {
+      if (noted.tag === "hard") {
+        this.term = noted.term;
+        this.votedFor = noted.votedFor;
+      } else if (noted.tag === "entries") this.entries.push(...noted.entries);
+      else this.entries = this.entries.filter((entry) => entry.index < noted.from);
+    }
+    this.state = structuredClone(this.base);
+    this.commit = this.applied = this.baseIndex;
+    this.synced = this.lastIndex();
+    return Fault.ok(true as const);
+  }
+  /** Whether this member belongs to a founded group. @example if (!group.founded()) yield* found(); */
+  founded(): boolean {
+    return this.lastIndex() > 0;
+  }
+  /** @example group.groupId() */
+  groupId(): string {
+    if (this.state.group) return this.state.group;
+    const found = this.entries.find((entry) => entry.command.tag === "found");
+    return found && found.command.tag === "found" ? found.command.group : "";
+  }
+  /** @example group.start(); */
+  start(): void {
+    this.rpc.handle("group.preVote", (body) => this.onPreVote(body));
+    this.rpc.handle("group.vote", (body) => this.onVote(body));
+    this.rpc.handle("group.append", (body) => this.onAppend(body));
+    this.heardAt = this.env.mono(); // a restarted voter grants nothing for one grant time
+    this.setElection();
+    EnvTools.keep(this.env, this.env.scope, "election", () => this.electionLoop());
+    EnvTools.keep(this.env, this.env.scope, "log writer", () => this.writeLoop());
+  }
+  /** The founding entry, the same on every founder. @example yield* group.found("g-1", ["a", "b", "c"]); */
+  *found(group: string, voters: string[]): Task<Result<true>> {
+    yield* Csp.take(this.diskToken);
+    try {
+      if (this.founded()) return this.groupId() === group ? Fault.ok(true as const) : Fault.fail("conflict", "found", this.self, "already in a group");
+      const entry: Entry = { index: 1, term: 1, command: { tag: "found", group, voters } };
+      const done = yield* this.slots.append([{ tag: "hard", term: 1, votedFor: "" }, { tag: "entries", entries: [entry] }] satisfies Noted[]);
+      if (!done.ok) return done;
+      this.term = 1;
+      this.entries = [entry];
+      this.synced = 1;
+      return done;
+    } finally {
+      Csp.offer(this.diskToken, true);
+    }
+  }
+
+  private lastIndex = (): number => (this.entries.length > 0 ? this.entries[this.entries.length - 1].index : this.baseIndex);
+  private termAt(index: number): number | undefined {
+    if (index === this.baseIndex) return this.baseTerm;
+    return this.entries[index - this.baseIndex - 1]?.term;
+  }
+  /** The voters of the newest entry that names them, committed or not. */
+  voters(): string[] {
+    for (let at = this.entries.length - 1; at >= 0; at -= 1) {
+      const command = this.entries[at].command;
+      if (command.tag === "voters" || command.tag === "found") return command.voters;
+    }
+    return this.base.voters;
+  }
+  private majority = (): number => Math.floor(this.voters().length / 2) + 1;
+  /** Whether the lead's grant, counted from before the asking, still stands. @example if (!group.holdsLead()) return; */
+  holdsLead(): boolean {
+    if (this.role !== "lead") return false;
+    const now = this.env.mono();
+    const heard = this.voters().filter((id) => id === this.self || now - (this.followers.get(id)?.heardAt ?? -Infinity) < Constants.controlGrantMs);
+    return heard.length >= this.majority();
+  }
+  /** How far a standby is behind, in entries. @example group.lag("node-4") */
+  lag(id: string): number {
+    return this.lastIndex() - (this.followers.get(id)?.match ?? 0);
+  }
+
+  private setElection(): void {
+    this.nextElection = this.env.mono() + Constants.electionMinMs + this.env.random() * Constants.electionSpreadMs;
+  }
+  private *note(records: Noted[]): Task<Result<true>> {
+    return yield* this.slots.append(records);
+  }
+  private *stepDown(term: number, withToken: boolean): Task<boolean> {
+    if (this.role === "lead") {
+      this.env.log(1304, { term: this.term });
+      for (const waiting of this.waiting.values()) Csp.offer(waiting.reply, Fault.fail("unknown", "propose", this.self, "lead changed before the entry was committed"));
+      this.waiting.clear();
+    }
+    this.role = "follower";
+    this.followers.clear();
+    if (term <= this.term) return true;
+    if (!withToken) yield* Csp.take(this.diskToken);
+    try {
+      if (term <= this.term) return true;
+      const done = yield* this.note([{ tag: "hard", term, votedFor: "" }]);
+      if (!done.ok) return false;
+      this.term = term;
+      this.votedFor = "";
+      return true;
+    } finally {
+      if (!withToken) Csp.offer(this.diskToken, true);
+    }
+  }
+
+  private *electionLoop(): Task<void> {
+    for (;;) {
+      yield* EnvTools.sleep(this.env, 60);
+      if (this.role === "lead") {
+        // a lead that lost its majority for long says so and steps down
+        const now = this.env.mono();
+        const heard = this.voters().filter((id) => id === this.self || now - (this.followers.get(id)?.heardAt ?? -Infinity) < 2 * Constants.electionMinMs);
+        if (heard.length < this.majority() && now - this.leadSince > 2 * Constants.electionMinMs) {
+          this.env.log(1307, { heard });
+          this.lead = "";
+          yield* this.stepDown(this.term, false);
+        }
+        continue;
+      }
+      if (this.env.mono() < this.nextElection || !this.founded() || !this.voters().includes(this.self) || this.slots.broken) continue;
+      yield* this.campaign();
+      this.setElection();
+    }
+  }
+  private *askVotes(verb: string, term: number): Task<boolean> {
+    const voters = this.voters();
+    const replies = Csp.chan<boolean>(16);
+    const group = this;
+    const body = { group: this.groupId(), term, candidate: this.self, lastIndex: this.lastIndex(), lastTerm: this.termAt(this.lastIndex()) };
+    for (const id of voters.filter((voter) => voter !== this.self))
+      Csp.go(this.env.scope, verb, function* () {
+        const address = group.hooks.addressOf(id);
+        const replied = address ? yield* group.rpc.ask(address, verb, body, 300) : undefined;
+        if (replied?.ok && replied.value.term > group.term) yield* group.stepDown(replied.value.term, false);
+        Csp.offer(replies, replied?.ok === true && replied.value.granted === true);
+      });
+    let granted = 1;
+    for (let heard = 1; heard < voters.length && granted < this.majority(); heard += 1) if (yield* Csp.take(replies)) granted += 1;
+    return granted >= this.majority();
+  }
+  private *campaign(): Task<void> {
+    this.elections += 1;
+    const startedTerm = this.term;
+    if (!(yield* this.askVotes("group.preVote", startedTerm + 1))) return;
+    if (this.term !== startedTerm) return;
+    yield* Csp.take(this.diskToken);
+    try {
+      if (this.term !== startedTerm) return;
+      const done = yield* this.note([{ tag: "hard", term: startedTerm + 1, votedFor: this.self }]);
+      if (!done.ok) return;
+      this.term = startedTerm + 1;
+      this.votedFor = this.self;
+    } finally {
+      Csp.offer(this.diskToken, true);
+    }
+    this.role = "candidate";
+    this.env.point(31);
+    const won = yield* this.askVotes("group.vote", startedTerm + 1);
+    if (!won || this.term !== startedTerm + 1 || (this.role as string) !== "candidate") {
+      if ((this.role as string) === "candidate") this.role = "follower";
+      return;
+    }
+    this.role = "lead";
+    this.lead = this.self;
+    this.leadSince = this.env.mono();
+    this.followers.clear();
+    this.env.log(1303, { term: this.term });
+    this.append({ tag: "noop" });
+    this.env.point(32);
+    const term = this.term;
+    Csp.go(this.env.scope, `replication of term ${term}`, () => this.replicators(term));
+  }
+  /** Keeps one replication task a member, voters and standbys alike. */
+  private *replicators(term: number): Task<void> {
+    const running = new Set<string>();
+    while (this.role === "lead" && this.term === term) {
+      const wanted = new Set([...this.voters(), ...this.hooks.others()]);
+      wanted.delete(this.self);
+      for (const id of wanted) {
+        if (running.has(id)) continue;
+        running.add(id);
+        this.followers.set(id, { next: this.lastIndex() + 1, match: 0, heardAt: -Infinity, wake: Csp.sliding(1) });
+        const group = this;
+        Csp.go(this.env.scope, `replicate to ${id}`, function* () {
+          yield* group.replicate(id, term);
+          running.delete(id);
+        });
+      }
+      yield* EnvTools.sleep(this.env, Constants.heartbeatMs);
+    }
+  }
+  private *replicate(id: string, term: number): Task<void> {
+    while (this.role === "lead" && this.term === term) {
+      const follower = this.followers.get(id);
+      const address = this.hooks.addressOf(id);
+      if (!follower) return;
+      if (!address) {
+        if (!this.voters().includes(id) && !this.hooks.others().includes(id)) return void this.followers.delete(id);
+        yield* EnvTools.sleep(this.env, Constants.heartbeatMs);
+        continue;
+      }
+      const behindBase = follower.next <= this.baseIndex;
+      const prevIndex = behindBase ? this.baseIndex : follower.next - 1;
+      const body: Append = {
+        group: this.groupId(), term, lead: this.self, prevIndex, prevTerm: this.termAt(prevIndex) ?? 0, commit: this.commit,
+        entries: this.entries.slice(prevIndex - this.baseIndex, prevIndex - this.baseIndex + Constants.appendBatch),
+        ...(behindBase ? { whole: { index: this.baseIndex, term: this.baseTerm, state: this.base } } : {}),
+      };
+      const askedAt = this.env.mono();
+      const replied = yield* this.rpc.ask(address, "group.append", body, 600);
+      if (this.role !== "lead" || this.term !== term) return;
+      if (replied.ok) {
+        if (replied.value.term > this.term) return void (yield* this.stepDown(replied.value.term, false));
+        follower.heardAt = askedAt;
+        if (replied.value.matched) {
+          follower.match = Math.max(follower.match, replied.value.match);
+          follower.next = follower.match + 1;
+          this.advance();
+        } else follower.next = Math.max(1, Math.min(follower.next - 1, replied.value.last + 1));
+        if (follower.next <= this.lastIndex()) continue;
+      }
+      yield* EnvTools.takeWithin(this.env, follower.wake, replied.ok ? Constants.heartbeatMs : Constants.heartbeatMs / 2);
+    }
+  }
+  private advance(): void {
+    const matches = this.voters().map((id) => (id === this.self ? this.synced : this.followers.get(id)?.match ?? 0)).sort((left, right) => right - left);
+    const majorityIndex = matches[this.majority() - 1];
+    if (majorityIndex > this.commit && this.termAt(majorityIndex) === this.term) {
+      this.commit = majorityIndex;
+      this.env.point(33);
+      this.applyCommitted();
+      for (const follower of this.followers.values()) Csp.offer(follower.wake, true);
+    }
+  }
+  private applyCommitted(): void {
+    while (this.applied < this.commit) {
+      const entry = this.entries[this.applied - this.baseIndex];
+      const outcome = ControlState.apply(this.state, entry.index, entry.command);
+      this.applied = entry.index;
+      const waiting = this.waiting.get(entry.index);
+      this.waiting.delete(entry.index);
+      if (waiting) Csp.offer(waiting.reply, waiting.term === entry.term ? Fault.ok(outcome) : Fault.fail("conflict", "propose", this.self, "entry was replaced"));
+    }
+    this.hooks.applied(this.state, this.applied);
+  }
+  private append(command: Command): Entry {
+    const entry: Entry = { index: this.lastIndex() + 1, term: this.term, command };
+    this.entries.push(entry);
+    this.unsynced.push(entry);
+    Csp.offer(this.writeWake, true);
+    for (const follower of this.followers.values()) Csp.offer(follower.wake, true);
+    return entry;
+  }
+  private *writeLoop(): Task<void> {
+    for (;;) {
+      yield* EnvTools.takeWithin(this.env, this.writeWake, 1000);
+      yield* Csp.take(this.diskToken);
+      try {
+        const batch = this.unsynced.filter((entry) => this.termAt(entry.index) === entry.term);
+        this.unsynced = [];
+        if (batch.length > 0) {
+          const done = yield* this.note([{ tag: "entries", entries: batch }]);
+          if (!done.ok) {
+            this.env.log(1404, { fault: done.fault });
+            yield* this.stepDown(this.term, true);
+            continue;
+          }
+          this.synced = Math.max(this.synced, batch[batch.length - 1].index);
+          if (this.role === "lead") this.advance();
+        }
+        if (this.applied - this.baseIndex > Constants.groupLogKeep) yield* this.fold();
+      } finally {
+        Csp.offer(this.diskToken, true);
+      }
+    }
+  }
+  private *fold(): Task<void> {
+    const upTo = this.applied;
+    const saved: Saved = {
+      term: this.term, votedFor: this.votedFor, baseIndex: upTo, baseTerm: this.termAt(upTo)!, base: structuredClone(this.state),
+      entries: this.entries.filter((entry) => entry.index > upTo && entry.index <= this.synced),
+    };
+    const done = yield* this.slots.rotate(saved);
+    if (!done.ok) return;
+    this.entries = this.entries.filter((entry) => entry.index > upTo);
+    this.baseIndex = upTo;
+    this.baseTerm = saved.baseTerm;
+    this.base = saved.base;
+  }
+
+  /** Puts a command to the group; the fault "unknown" means it may yet be taken. @example yield* group.propose(command, 1500) */
+  *propose(command: Command, withinMs: number): Task<Result<Outcome>> {
+    if (!this.holdsLead()) return Fault.fail("notLead", "propose", this.self, this.role === "lead" ? "" : this.lead);
+    const entry = this.append(command);
+    const reply = Csp.chan<Result<Outcome>>(1);
+    this.waiting.set(entry.index, { term: entry.term, reply });
+    const replied = yield* EnvTools.takeWithin(this.env, reply, withinMs);
+    this.waiting.delete(entry.index);
+    return replied ?? Fault.fail("unknown", "propose", this.self, "no majority answered in time");
+  }
+
+  private quiet = (): boolean => this.role !== "lead" && this.env.mono() - this.heardAt >= Constants.electionMinMs;
+  private atLeast = (body: { lastIndex: number; lastTerm: number }): boolean => {
+    const ourTerm = this.termAt(this.lastIndex()) ?? 0;
+    return body.lastTerm > ourTerm || (body.lastTerm === ourTerm && body.lastIndex >= this.lastIndex());
+  };
+  private *onPreVote(body: { group: string; term: number; lastIndex: number; lastTerm: number }): Task<Result<unknown>> {
+    return Fault.ok({ term: this.term, granted: body.group === this.groupId() && this.quiet() && body.term > this.term && this.atLeast(body) });
+  }
+  private *onVote(body: { group: string; term: number; candidate: string; lastIndex: number; lastTerm: number }): Task<Result<unknown>> {
+    if (body.group !== this.groupId() || !this.founded()) return Fault.ok({ term: this.term, granted: false });
+    yield* Csp.take(this.diskToken);
+    try {
+      if (body.term < this.term || !this.quiet()) return Fault.ok({ term: this.term, granted: false });
+      if (body.term > this.term && !(yield* this.stepDown(body.term, true))) return Fault.fail("disk", "vote", this.self, "term not saved");
+      const granted = (this.votedFor === "" || this.votedFor === body.candidate) && this.atLeast(body);
+      if (granted && this.votedFor === "") {
+        const done = yield* this.note([{ tag: "hard", term: this.term, votedFor: body.candidate }]);
+        if (!done.ok) return done;
+        this.votedFor = body.candidate;
+        this.setElection();
+      }
+      this.env.point(34);
+      return Fault.ok({ term: this.term, granted });
+    } finally {
+      Csp.offer(this.diskToken, true);
+    }
+  }
+  private *onAppend(body: Append): Task<Result<unknown>> {
+    if (this.founded() && body.group !== this.groupId()) return Fault.fail("invalid", "append", this.self, "another group's append");
+    if (this.slots.broken) return Fault.fail("disk", "append", this.self, "disk failed");
+    yield* Csp.take(this.diskToken);
+    try {
+      const unmatched = (): Result<unknown> => Fault.ok({ term: this.term, matched: false, last: this.lastIndex() });
+      if (body.term < this.term) return unmatched();
+      if (body.term > this.term || this.role !== "follower") if (!(yield* this.stepDown(body.term, true))) return Fault.fail("disk", "append", this.self, "term not saved");
+      this.heardAt = this.env.mono();
+      this.setElection();
+      this.lead = body.lead;
+      if (this.unsynced.length > 0) {
+        // entries of our own time as lead that never reached our disk are not ours to acknowledge
+        this.entries = this.entries.filter((entry) => entry.index <= this.synced);
+        this.unsynced = [];
+      }
+      if (body.whole && body.whole.index > this.lastIndex()) {
+        const saved: Saved = {
+          term: this.term, votedFor: this.votedFor, baseIndex: body.whole.index, baseTerm: body.whole.term, base: body.whole.state, entries: [],
+        };
+        const done = yield* this.slots.rotate(saved);
+        if (!done.ok) return done;
+        this.entries = [];
+        this.baseIndex = saved.baseIndex;
+        this.baseTerm = saved.baseTerm;
+        this.base = saved.base;
+        this.state = structuredClone(saved.base);
+        this.applied = this.commit = this.synced = saved.baseIndex;
+        this.hooks.applied(this.state, this.applied);
+      }
+      if (body.prevIndex < this.baseIndex) return Fault.ok({ term: this.term, matched: true, match: this.baseIndex });
+      if (this.termAt(body.prevIndex) !== body.prevTerm) return unmatched();
+      const fresh = body.entries.filter((entry) => this.termAt(entry.index) !== entry.term);
+      if (fresh.length > 0) {
+        const from = fresh[0].index;
+        const records: Noted[] = [];
+        if (from <= this.lastIndex()) records.push({ tag: "cut", from });
+        const added = body.entries.filter((entry) => entry.index >= from);
+        records.push({ tag: "entries", entries: added });
+        const done = yield* this.note(records);
+        if (!done.ok) return done;
+        this.entries = [...this.entries.filter((entry) => entry.index < from), ...added];
+      }
+      const match = body.prevIndex + body.entries.length;
+      this.synced = this.lastIndex();
+      this.env.point(35);
+      if (Math.min(body.commit, match) > this.commit) {
+        this.commit = Math.min(body.commit, match);
+        this.applyCommitted();
+      }
+      if (this.applied - this.baseIndex > Constants.groupLogKeep) Csp.offer(this.writeWake, true);
+      return Fault.ok({ term: this.term, matched: true, match });
+    } finally {
+      Csp.offer(this.diskToken, true);
+    }
+  }
+}
--- /dev/null
+++ b/src/control/views.ts
@@ -0,0 +1,248 @@
+import { Constants } from "../constants";
+import { Csp, Task } from "../csp/csp";
+import { Env, EnvTools } from "../env/env";
+import { Hash } from "../core/hash";
+import { Node } from "../core/node";
+import { Member } from "../membership/member";
+import { CopyStatus } from "../shard/shardCopy";
+import { View } from "./controlState";
+import { Group } from "./group";
+
+type StoreStatus = { shards: CopyStatus[]; stopping: boolean; vouches: boolean; heardAt: number };
+
+/**
+ * The control lead's care for shards: first views, takeover after a loss, filling and joining of new copies,
+ * moves off retiring stores, balance after machines were added.
+ *
+ * @example
+ * const views = new Views(env, node, group);
+ * views.start();
+ */
+export class Views {
+  private statuses = new Map<string, StoreStatus>();
+  private busy = new Set<number>();
+  private firstStoreAt = Infinity;
+  private waitingSaid = new Set<number>();
+  private lastRebalanceAt = -Infinity;
+  private troubledSince = new Map<number, number>();
+  changed = 0;
+  constructor(
+    private readonly env: Env,
+    private readonly node: Node,
+    private readonly group: Group,
+  ) {}
+
+  /** @example views.start(); */
+  start(): void {
+    EnvTools.keep(this.env, this.env.scope, "views", () => this.loop());
+  }
+  private *loop(): Task<void> {
+    for (;;) {
+      yield* EnvTools.sleep(this.env, Constants.statusPeriodMs);
+      if (!this.group.holdsLead()) {
+        this.statuses.clear();
+        this.firstStoreAt = Infinity;
+        continue;
+      }
+      yield* this.look();
+      for (let shard = 0; shard < Constants.shardCount; shard += 1) this.care(shard);
+    }
+  }
+  private *look(): Task<void> {
+    const stores = this.node.membership.alive("store");
+    const done = Csp.chan<true>(64);
+    const views = this;
+    for (const store of stores)
+      Csp.go(this.env.scope, `status of ${store.id}`, function* () {
+        const replied = yield* views.node.rpc.ask(store.address, "store.status", {}, 350);
+        if (replied.ok) views.statuses.set(store.id, { ...replied.value, heardAt: views.env.mono() });
+        Csp.offer(done, true);
+      });
+    for (let heard = 0; heard < stores.length; heard += 1) yield* Csp.take(done);
+    if (stores.length > 0 && this.firstStoreAt === Infinity) this.firstStoreAt = this.env.mono();
+  }
+  private isUp(id: string): boolean {
+    const member = this.node.membership.find(id);
+    const status = this.statuses.get(id);
+    return !!member && (member.state === "alive" || member.state === "suspect") && !!status && this.env.mono() - status.heardAt < Constants.replicateTimeoutMs * 2;
+  }
+  private isGone(id: string): boolean {
+    const member = this.node.membership.find(id);
+    if (!member) return this.env.mono() - this.group.leadSince > Constants.voterGoneMs;
+    return member.state === "dead" || member.state === "left";
+  }
+  private copyOf(id: string, shard: number): CopyStatus | undefined {
+    return this.statuses.get(id)?.shards.find((copy) => copy.shard === shard);
+  }
+  private load(id: string): number {
+    return Object.values(this.group.state.views).filter((view) => view.members.includes(id)).length;
+  }
+  private leads(id: string): number {
+    return Object.values(this.group.state.views).filter((view) => view.lead === id).length;
+  }
+  /** Stores that may take a copy of the shard, best first: new districts, then few copies, then by weight. */
+  private candidates(shard: number, members: string[]): Member[] {
+    const districts = new Set(members.map((id) => this.node.membership.find(id)?.district));
+    const weight = Hash.rendezvous(`shard-${shard}`, this.node.membership.alive("store").map((store) => store.id));
+    const rank = (store: Member): number => (districts.has(store.district) ? 1000 : 0) + this.load(store.id) * 10 + weight.indexOf(store.id);
+    return this.node.membership
+      .alive("store")
+      .filter((store) => !members.includes(store.id) && this.isUp(store.id) && !this.group.state.retiring.includes(store.id) && !this.statuses.get(store.id)!.stopping && this.statuses.get(store.id)!.vouches && !this.copyOf(store.id, shard)?.broken)
+      .sort((left, right) => rank(left) - rank(right));
+  }
+
+  private care(shard: number): void {
+    if (this.busy.has(shard)) return;
+    const act = (name: string, body: () => Task<unknown>): void => {
+      this.busy.add(shard);
+      const views = this;
+      Csp.go(this.env.scope, `${name} shard ${shard}`, function* () {
+        try {
+          yield* body();
+        } finally {
+          views.busy.delete(shard);
+        }
+      });
+    };
+    const view = this.group.state.views[shard];
+    if (!view) {
+      const stores = this.candidates(shard, []);
+      const settled = this.env.mono() - this.firstStoreAt > Constants.viewSettleMs;
+      if (stores.length > 0 && settled) act("first view of", () => this.first(shard));
+      return;
+    }
+    const leadCopy = this.copyOf(view.lead, shard);
+    const leadUp = this.isUp(view.lead);
+    const gone = view.members.filter((id) => this.isGone(id));
+    const broken = view.members.filter((id) => this.copyOf(id, shard)?.broken);
+    const failing = leadUp && leadCopy?.epoch === view.epoch ? leadCopy.failing.filter((id) => view.members.includes(id)) : [];
+    const sealedAhead = view.members.some((id) => this.isUp(id) && (this.copyOf(id, shard)?.sealed ?? 0) > view.epoch);
+    const leaving = view.members.filter((id) => this.statuses.get(id)?.stopping && this.isUp(id));
+    const unvouched = leadUp && !this.statuses.get(view.lead)!.vouches;
+    const now = this.env.mono();
+    const idleLead = leadUp && (leadCopy === undefined || leadCopy.epoch < view.epoch || (leadCopy.role !== "lead" && leadCopy.role !== "starting"));
+    if (idleLead || unvouched) this.troubledSince.set(shard, this.troubledSince.get(shard) ?? now);
+    else this.troubledSince.delete(shard);
+    const troubledFor = now - (this.troubledSince.get(shard) ?? now);
+
+    let reason = "";
+    if (gone.length > 0) reason = `members gone: ${gone.join(", ")}`;
+    else if (broken.length > 0) reason = `disk failed at ${broken.join(", ")}`;
+    else if (leaving.length > 0) reason = `members leaving: ${leaving.join(", ")}`;
+    else if (failing.length > 0) reason = `members not syncing: ${failing.join(", ")}`;
+    else if (leadUp && leadCopy && leadCopy.wantsView) reason = `lead asks: ${leadCopy.wantsView}`;
+    else if (sealedAhead) reason = "an earlier change of view was not finished";
+    else if (troubledFor > 1500) reason = unvouched ? "lead's clock is not vouched for" : "lead does not lead";
+    if (reason) return act("new view of", () => this.reconfigure(shard, reason, []));
+
+    if (!leadUp || leadCopy?.role !== "lead") return;
+    const retiring = view.members.filter((id) => this.group.state.retiring.includes(id));
+    if (view.members.length - retiring.length < Constants.copies) {
+      if (view.members.length < Constants.copies && !this.waitingSaid.has(shard)) this.env.log(1402, { shard, members: view.members });
+      const [target] = this.candidates(shard, view.members);
+      if (target) return act("fill", () => this.fillAndJoin(shard, target, retiring[0] ? `off retiring ${retiring[0]}` : "too few copies"));
+    }
+    if (retiring.length > 0 && view.members.length - retiring.length >= Constants.minCopiesForLots) {
+      return act("retire from", () => this.reconfigure(shard, `retiring ${retiring.join(", ")}`, []));
+    }
+    if (view.members.length > Constants.copies) return act("trim", () => this.reconfigure(shard, "one copy too many", []));
+    this.rebalance(shard, view, act);
+  }
+  /** A machine that was added gets copies, one shard at a time. */
+  private rebalance(shard: number, view: View, act: (name: string, body: () => Task<unknown>) => void): void {
+    const now = this.env.mono();
+    if (this.busy.size > 0 || now - this.lastRebalanceAt < 2000) return;
+    const [target] = this.candidates(shard, view.members);
+    if (!target) return;
+    const heaviest = view.members.filter((id) => id !== view.lead).sort((left, right) => this.load(right) - this.load(left))[0];
+    if (!heaviest || this.load(heaviest) - this.load(target.id) < 2) return;
+    this.lastRebalanceAt = now;
+    act("move", () => this.fillAndJoin(shard, target, `balance: ${heaviest} holds ${this.load(heaviest)} copies, ${target.id} ${this.load(target.id)}`));
+  }
+  private *first(shard: number): Task<void> {
+    const members: string[] = [];
+    while (members.length < Constants.copies) {
+      const [next] = this.candidates(shard, members);
+      if (!next) break;
+      members.push(next.id);
+    }
+    const lead = [...members].sort((left, right) => this.leads(left) - this.leads(right))[0];
+    yield* this.propose({ shard, epoch: 1, members, lead }, "first view", 0);
+  }
+  private *propose(view: View, reason: string, waitMs: number): Task<boolean> {
+    const outcome = yield* this.group.propose({ tag: "view", view, reason }, Constants.proposeTimeoutMs);
+    if (!outcome.ok || outcome.value.tag !== "done") return false;
+    this.changed += 1;
+    this.env.point(38);
+    const views = this;
+    const installs = Csp.chan<true>(16);
+    for (const id of [view.lead, ...view.members.filter((member) => member !== view.lead)]) {
+      Csp.go(this.env.scope, "install view", function* () {
+        const address = views.node.addressOf(id);
+        if (address) yield* views.node.rpc.ask(address, "shard.install", { shard: view.shard, view, waitMs }, 800);
+        Csp.offer(installs, true);
+      });
+    }
+    for (let heard = 0; heard < view.members.length; heard += 1) yield* Csp.take(installs);
+    return true;
+  }
+
+  /** Survivors seal the old epoch; the longest sealed log leads the next. */
+  private *reconfigure(shard: number, reason: string, joiners: string[]): Task<boolean> {
+    const view = this.group.state.views[shard];
+    const epoch = view.epoch + 1;
+    type Sealed = { id: string; seq: number; lastEpoch: number; grantLeftMs: number };
+    const sealed: Sealed[] = [];
+    const done = Csp.chan<true>(16);
+    const views = this;
+    const asked = view.members.filter((id) => this.node.addressOf(id));
+    for (const id of asked)
+      Csp.go(this.env.scope, `seal at ${id}`, function* () {
+        const replied = yield* views.node.rpc.ask(views.node.addressOf(id)!, "shard.seal", { shard, epoch }, Constants.sealTimeoutMs);
+        if (replied.ok) sealed.push({ id, ...replied.value });
+        Csp.offer(done, true);
+      });
+    for (let heard = 0; heard < asked.length; heard += 1) yield* Csp.take(done);
+    this.env.point(39);
+    if (sealed.length === 0) {
+      if (!this.waitingSaid.has(shard)) this.env.log(1403, { shard, members: view.members });
+      this.waitingSaid.add(shard);
+      return false;
+    }
+    this.waitingSaid.delete(shard);
+    sealed.sort((left, right) => right.lastEpoch - left.lastEpoch || right.seq - left.seq);
+    const longest = sealed[0];
+    const whole = sealed.filter((copy) => copy.lastEpoch === longest.lastEpoch && copy.seq === longest.seq);
+    // who may stay: not retiring and not leaving, unless nobody else is intact
+    const wanted = (id: string): boolean => !this.group.state.retiring.includes(id) && !this.statuses.get(id)?.stopping;
+    const clockOk = (id: string): boolean => this.statuses.get(id)?.vouches !== false;
+    const leadChoices = [whole.filter((copy) => wanted(copy.id) && clockOk(copy.id)), whole.filter((copy) => wanted(copy.id)), whole].find((choice) => choice.length > 0)!;
+    const lead = (leadChoices.find((copy) => copy.id === view.lead) ?? [...leadChoices].sort((left, right) => this.leads(left.id) - this.leads(right.id))[0]).id;
+    let members = [lead, ...sealed.map((copy) => copy.id).filter((id) => id !== lead && wanted(id)), ...joiners];
+    if (members.length < Constants.minCopiesForLots) members = [lead, ...sealed.map((copy) => copy.id).filter((id) => id !== lead), ...joiners];
+    while (members.length > Constants.copies) {
+      const droppable = members.filter((id) => id !== lead && !joiners.includes(id)).sort((left, right) => this.load(right) - this.load(left));
+      members = members.filter((id) => id !== droppable[0]);
+    }
+    // the old lead has stopped if it sealed; else its grant ends with the first member that will not renew it
+    const leadSealed = sealed.some((copy) => copy.id === view.lead);
+    const waitMs = leadSealed ? 0 : Math.min(...sealed.map((copy) => copy.grantLeftMs)) + 50;
+    return yield* this.propose({ shard, epoch, members, lead }, reason, waitMs);
+  }
+  private *fillAndJoin(shard: number, target: Member, reason: string): Task<void> {
+    const view = this.group.state.views[shard];
+    const lead = this.node.addressOf(view.lead);
+    if (!lead) return;
+    const filled = yield* this.node.rpc.ask(lead, "shard.fill", { shard, target: target.id }, 6000);
+    if (!filled.ok || filled.value.tag !== "ok" || !this.group.holdsLead() || this.group.state.views[shard].epoch !== view.epoch) return;
+    yield* this.reconfigure(shard, `${reason}: ${target.id} filled`, [target.id]);
+  }
+  /** Shards that still have a copy on the store. @example views.remaining("store-3") */
+  remaining(store: string): number {
+    return this.load(store);
+  }
+  /** Stores that would stay if this one went. @example views.staying("store-3") */
+  staying(store: string): Member[] {
+    return this.node.membership.alive("store").filter((member) => member.id !== store && this.isUp(member.id) && !this.group.state.retiring.includes(member.id));
+  }
+}
--- /dev/null
+++ b/src/core/daemon.ts
@@ -0,0 +1,35 @@
+import { AgentNode } from "../agent/agentNode";
+import { ControlNode } from "../control/controlNode";
+import { Fault, Result } from "./fault";
+import { Settings } from "./settings";
+import { Task } from "../csp/csp";
+import { Env } from "../env/env";
+import { IngressNode } from "../ingress/ingressNode";
+import { StoreNode } from "../store/storeNode";
+
+export type Running = { stop(): Task<void> };
+/**
+ * Starts the program that the settings name, in any environment.
+ *
+ * @example
+ * const running = yield* Daemon.start(env, settings);
+ * if (running.ok) yield* running.value.stop();
+ */
+export const Daemon = {
+  *start(env: Env, settings: Settings): Task<Result<Running>> {
+    switch (settings.program) {
+      case "agent":
+        return yield* AgentNode.start(env, settings);
+      case "ingress":
+        return yield* IngressNode.start(env, settings);
+      case "store":
+        return yield* StoreNode.start(env, settings);
+      case "control":
+        return yield* ControlNode.start(env, settings);
+      default: {
+        const never: never = settings.program;
+        return Fault.fail("invalid", "start", String(never), "unknown program");
+      }
+    }
+  },
+};
--- /dev/null
+++ b/src/core/frame.ts
@@ -0,0 +1,17 @@
+import { ControlFrame } from "../control/controlState";
+import { Member } from "../membership/member";
+
+export type Replica = {
+  key: string; id: string; instance: string; address: string; pool: string; district: string; version: string;
+  capacity: number; active: number; waiting: number; bornAt: number;
+};
+/** Everything a process acts on, immutable and swapped whole. */
+export type Frame = {
+  number: number;
+  control: ControlFrame | undefined;
+  members: Member[];
+  replicas: Replica[];
+  crowded: Record<string, boolean>; // by pool: some node had to make live work wait just now
+  fresh: boolean; // false after a freeze, until a member was heard again
+  vouched: boolean; // our clock is within δ
+};
--- /dev/null
+++ b/src/env/env.ts
@@ -0,0 +1,129 @@
+import { Chan, Csp, Picked, Scope, Task } from "../csp/csp";
+import { Result } from "../core/fault";
+
+/** One connection that carries whole frames. */
+export interface Link {
+  readonly member: string;
+  readonly incoming: Chan<Buffer>;
+  send(frame: Buffer): boolean;
+  close(): void;
+}
+export interface DatagramSocket {
+  readonly incoming: Chan<{ from: string; data: Buffer }>;
+  send(to: string, data: Buffer): void;
+}
+export interface HttpIn {
+  readonly method: string;
+  readonly path: string;
+  readonly query: URLSearchParams;
+  readonly headers: Record<string, string>;
+  readonly caller: string;
+  /** Closed when the caller has gone. */
+  readonly gone: Chan<true>;
+  body(limit: number): Task<Result<Buffer>>;
+  send(status: number, headers: Record<string, string>, body: string): void;
+  open(status: number, headers: Record<string, string>): void;
+  write(chunk: string): void;
+  end(): void;
+  abort(): void;
+}
+export interface HttpReply {
+  readonly status: number;
+  readonly headers: Record<string, string>;
+  readonly chunks: Chan<Buffer>; // closed at the end
+  broken(): boolean; // read after chunks closed
+  abort(): void;
+}
+export type HttpOut = { method: string; path: string; headers?: Record<string, string>; body?: string; timeoutMs: number };
+export interface Disk {
+  read(path: string): Task<Result<Buffer | undefined>>;
+  /** Whole file, synced, and its folder synced. */
+  write(path: string, data: Buffer): Task<Result<true>>;
+  /** Appends at the end and syncs. */
+  append(path: string, data: Buffer): Task<Result<true>>;
+  truncate(path: string, size: number): Task<Result<true>>;
+  list(folder: string): Task<Result<string[]>>;
+  remove(path: string): Task<Result<true>>;
+  /** Free bytes. */
+  free(folder: string): Task<Result<number>>;
+  /** One process at a time. */
+  lock(folder: string): Task<Result<true>>;
+}
+export interface Timer {
+  readonly chan: Chan<never>; // closed when due
+  cancel(): void;
+}
+/** All that a task may reach of the world; production binds it to Node, the simulator to virtual time. */
+export interface Env {
+  readonly name: string;
+  readonly scope: Scope;
+  readonly disk: Disk;
+  wall(): number;
+  mono(): number;
+  random(): number;
+  timer(ms: number): Timer;
+  listen(address: string): Task<Result<Chan<Link>>>;
+  connect(address: string, timeoutMs: number): Task<Result<Link>>;
+  datagrams(address: string): Task<Result<DatagramSocket>>;
+  serveHttp(address: string, handler: (incoming: HttpIn) => Task<void>): Task<Result<true>>;
+  http(address: string, out: HttpOut): Task<Result<HttpReply>>;
+  /** A numbered fault point: the simulator may end the process here. */
+  point(number: number): void;
+  log(event: number, fields?: Record<string, unknown>): void;
+}
+
+function* sleep(env: Env, ms: number): Task<void> {
+  yield* Csp.take(env.timer(ms).chan);
+}
+function* takeWithin<T>(env: Env, chan: Chan<T>, ms: number): Task<T | null | undefined> {
+  if (ms <= 0) return Csp.poll(chan);
+  const timer = env.timer(ms);
+  const picked: Picked<T> = yield* Csp.select<T>([chan, timer.chan as Chan<T>]);
+  timer.cancel();
+  return picked.index === 0 ? picked.value : undefined;
+}
+function* bodyOf(env: Env, reply: HttpReply, limit: number, withinMs: number): Task<string | undefined> {
+  const parts: Buffer[] = [];
+  let size = 0;
+  const until = env.mono() + withinMs;
+  for (;;) {
+    const chunk = yield* takeWithin(env, reply.chunks, until - env.mono());
+    if (chunk === undefined || (chunk && (size += chunk.length) > limit)) {
+      reply.abort();
+      return undefined;
+    }
+    if (chunk === null) return reply.broken() ? undefined : Buffer.concat(parts).toString("utf8");
+    parts.push(chunk);
+  }
+}
+
+/**
+ * Helpers over an environment.
+ *
+ * @example
+ * yield* EnvTools.sleep(env, 100);
+ * const item = yield* EnvTools.takeWithin(env, ch, 500); // undefined: time ran out, null: closed
+ */
+export const EnvTools = {
+  sleep,
+  takeWithin,
+  /** Whole body as text, or undefined if broken, too long or too slow. @example yield* EnvTools.bodyOf(env, reply, 1000, 500) */
+  bodyOf,
+  /** @example const id = EnvTools.id(env, "req"); */
+  id: (env: Env, prefix: string): string =>
+    `${prefix}-${Math.floor(env.random() * 2 ** 48).toString(36)}${Math.floor(env.random() * 2 ** 24).toString(36)}`,
+  /** A task that must go on: started again after an error, with a pause. @example EnvTools.keep(env, "probes", probes) */
+  keep(env: Env, scope: Scope, name: string, body: () => Task<unknown>): void {
+    Csp.go(scope, name, function* () {
+      for (;;) {
+        try {
+          yield* body();
+        } catch (error) {
+          if (!scope.alive) return;
+          scope.onError(name, error);
+        }
+        yield* sleep(env, 100);
+      }
+    });
+  },
+};
--- /dev/null
+++ b/src/ingress/ingressNode.ts
@@ -0,0 +1,316 @@
+import { Constants } from "../constants";
+import { Csp, Task } from "../csp/csp";
+import { Env, EnvTools, HttpIn } from "../env/env";
+import { Chooser } from "../core/chooser";
+import { Fault, Result } from "../core/fault";
+import { Frame } from "../core/frame";
+import { Hash } from "../core/hash";
+import { Host } from "../core/host";
+import { Settings } from "../core/settings";
+import { Stamp } from "../core/stamp";
+import { Http } from "../adapters/http";
+import { CallerHttp } from "../adapters/callerHttp";
+import { OperatorHttp } from "../adapters/operatorHttp";
+import { ReplicaHttp } from "../adapters/replicaHttp";
+import { Binding } from "../control/controlState";
+import { Cause } from "../shard/shardState";
+import { Putter } from "../store/putter";
+import { Rpc } from "../wire/rpc";
+import { Slab, Ticket } from "./slab";
+
+/* eslint-disable @typescript-eslint/no-explicit-any */
+export type Reply = { status: number; body: string };
+export type Accepted = { name: string; binding: Binding; caller: string; order: number; cause: Cause; deadlineMs: number };
+type Note = { subject: string; decision: string; cause: Cause };
+
+/**
+ * The ingress: takes in callers' requests, stamps them, accepts or refuses, and relays.
+ *
+ * @example
+ * const started = yield* IngressNode.start(env, settings);
+ */
+export class IngressNode {
+  private current: Frame = { number: 0, control: undefined, members: [], replicas: [], crowded: {}, fresh: false, vouched: false };
+  private fedAt = -Infinity;
+  private notes: Note[] = [];
+  private noteBatch = 0;
+  private live = new Map<string, number>();
+  private crowdTold = new Map<string, number>();
+  private waiting = new Map<string, number>();
+  readonly id: string;
+  readonly rpc: Rpc;
+  readonly putter: Putter;
+  readonly chooser: Chooser;
+  readonly slab = new Slab<Result<Reply>>(Constants.slabSlots);
+  stopping = false;
+  inFlight = 0;
+  readonly counts = { lookups: 0, streams: 0, lots: 0, busies: 0, failures: 0, resumes: 0, notes_lost: 0, stale: 0 };
+  private constructor(
+    readonly env: Env,
+    readonly settings: Settings,
+  ) {
+    this.id = EnvTools.id(env, "ingress");
+    this.rpc = new Rpc(env, settings.cluster, this.id);
+    this.putter = new Putter(env, this.rpc, this.id, () => this.current);
+    this.chooser = new Chooser(env);
+  }
+
+  /** @example yield* IngressNode.start(env, settings) */
+  static *start(env: Env, settings: Settings): Task<Result<IngressNode>> {
+    const ingress = new IngressNode(env, settings);
+    EnvTools.keep(env, env.scope, "feed", () => ingress.feedLoop());
+    EnvTools.keep(env, env.scope, "ledger notes", () => ingress.noteLoop());
+    EnvTools.keep(env, env.scope, "clock watch", () => ingress.watchClock());
+    const host: Host = {
+      env, rpc: ingress.rpc, id: ingress.id, frame: () => ingress.current,
+      announce: (announcement) => ingress.rpc.ask(settings.agent!, "agent.announce", announcement, 800),
+      goodbye: (id) => ingress.rpc.ask(settings.agent!, "agent.goodbye", { id }, 800),
+    };
+    const routes = [
+      ...CallerHttp.routes(ingress),
+      ...OperatorHttp.routes(host, { ready: () => ingress.unready(), metrics: () => ingress.metrics(), ledgerSource: ingress.putter }),
+    ];
+    const served = yield* env.serveHttp(settings.http, function* (incoming: HttpIn) {
+      ingress.inFlight += 1;
+      try {
+        yield* Http.dispatch(routes, incoming);
+      } finally {
+        ingress.inFlight -= 1;
+      }
+    });
+    if (!served.ok) return served;
+    env.log(1001, { program: "ingress", id: ingress.id, http: settings.http });
+    return Fault.ok(ingress);
+  }
+
+  /** @example ingress.frame().replicas */
+  frame = (): Frame => this.current;
+  /** Why new work is held, if it is. @example const why = ingress.unready(); */
+  unready(): string | undefined {
+    if (this.stopping) return "stopping";
+    if (!this.current.control) return "no manifest yet";
+    if (this.env.mono() - this.fedAt > Constants.frameStaleMs || !this.current.fresh) return "no fresh frame";
+    if (!this.current.vouched) return "clock not vouched for";
+    return undefined;
+  }
+  /** @example ingress.metrics().lookups */
+  metrics(): Record<string, number> {
+    return { ...this.counts, slab_used: this.slab.used, late_replies: this.slab.late, in_flight: this.inFlight, frame_index: this.current.control?.index ?? 0, manifest_version: this.current.control?.manifest.version ?? 0, replicas: this.current.replicas.length, affinity_hits: this.chooser.hits, affinity_misses: this.chooser.misses };
+  }
+  private *feedLoop(): Task<void> {
+    for (;;) {
+      const askedAt = this.env.mono();
+      const fed = yield* this.rpc.ask<any>(this.settings.agent!, "agent.feed", { seen: this.current.number, controlIndex: this.current.control?.index ?? 0 }, Constants.feedWaitMs + 500);
+      if (!fed.ok) {
+        yield* EnvTools.sleep(this.env, 100);
+        continue;
+      }
+      const { control, ...rest } = fed.value;
+      const kept = this.current.control;
+      // the control part only ever grows
+      const newest = control && (!kept || control.index > kept.index) ? control : kept;
+      if (newest !== kept) this.env.log(1601, { index: newest.index, manifest: newest.manifest.version });
+      this.current = { ...rest, control: newest };
+      this.fedAt = askedAt;
+    }
+  }
+  private *watchClock(): Task<void> {
+    let last = this.env.mono();
+    let told = false;
+    for (;;) {
+      yield* EnvTools.sleep(this.env, Constants.clockWatchMs);
+      const now = this.env.mono();
+      if (now - last > Constants.clockJumpMs + Constants.clockWatchMs) {
+        this.env.log(1005, { forMs: Math.round(now - last) });
+        this.fedAt = -Infinity;
+      }
+      const stale = now - this.fedAt > Constants.frameStaleMs;
+      if (stale && !told) {
+        this.env.log(1602);
+        this.counts.stale += 1;
+      }
+      told = stale;
+      last = now;
+    }
+  }
+
+  // ---------- the ledger entries of what is not durable ----------
+  /** @example ingress.note("request r1", "accepted", cause); */
+  note(subject: string, decision: string, cause: Cause): void {
+    if (this.notes.length >= Constants.ledgerBatch) {
+      this.notes.shift();
+      this.counts.notes_lost += 1;
+    }
+    this.notes.push({ subject, decision, cause });
+  }
+  private *noteLoop(): Task<void> {
+    for (;;) {
+      yield* EnvTools.sleep(this.env, Constants.ledgerFlushMs);
+      if (this.notes.length === 0 || !this.current.control) continue;
+      const batch = this.notes.splice(0, 100);
+      this.noteBatch += 1;
+      const put = yield* this.putter.put(this.putter.shardOf(this.id), `notes-${this.id}-${this.noteBatch}`, [{ op: "note", entries: batch }], {}, 10_000);
+      if (!put.ok) this.counts.notes_lost += batch.length;
+    }
+  }
+
+  // ---------- accept or refuse ----------
+  /** Whether a request may come in now, by manifest, policies and room. @example const accepted = ingress.accept("ask", headers); */
+  accept(name: string, headers: Record<string, string>): Result<Accepted> {
+    const why = this.unready();
+    if (why) return this.busy("accept", why, Constants.retryAfterMs);
+    const { manifest, policies } = this.current.control!;
+    const binding = Object.prototype.hasOwnProperty.call(manifest.doc.bindings, name) ? manifest.doc.bindings[name] : undefined;
+    if (!binding) return Fault.fail("notFound", "accept", this.id, `no binding ${name}`);
+    const caller = headers["x-caller"] ?? "";
+    const wish = { binding: name, kind: binding.kind, caller };
+    const ordered = Chooser.line(wish, policies.doc, (line) => line.order !== undefined);
+    const limited = Chooser.line(wish, policies.doc, (line) => line.limit !== undefined);
+    const limit = Math.min(limited?.limit ?? Infinity, binding.kind === "lookup" ? Infinity : Constants.liveBuffer * 4);
+    const cause: Cause = { manifest: manifest.version, ...(ordered ? { policy: `line ${policies.doc.indexOf(ordered) + 1} of version ${policies.version}` } : {}) };
+    if ((this.live.get(name) ?? 0) >= limit) {
+      this.note(`binding ${name}`, "refused as busy: limit reached", { ...cause, note: limited ? `line ${policies.doc.indexOf(limited) + 1} limits to ${limited.limit}` : "live buffer full" });
+      return this.busy("accept", "limit reached", Constants.retryAfterMs);
+    }
+    const asked = Number(headers["x-deadline-ms"]);
+    const deadlineMs = Number.isFinite(asked) && asked > 0 ? Math.min(asked, binding.deadlineMs) : binding.deadlineMs;
+    return Fault.ok({ name, binding, caller, order: ordered?.order ?? 100, cause, deadlineMs });
+  }
+  private busy(step: string, detail: string, retryAfterMs: number): { ok: false; fault: Fault } {
+    this.counts.busies += 1;
+    return Fault.busy(step, this.id, detail, retryAfterMs);
+  }
+  /** Counts a request as live while the body runs. @example yield* ingress.counted("ask", body) */
+  *counted<T>(name: string, body: () => Task<T>): Task<T> {
+    this.live.set(name, (this.live.get(name) ?? 0) + 1);
+    try {
+      return yield* body();
+    } finally {
+      this.live.set(name, this.live.get(name)! - 1);
+    }
+  }
+  private crowd(pool: string): void {
+    const now = this.env.mono();
+    if (now - (this.crowdTold.get(pool) ?? -Infinity) < 200) return;
+    this.crowdTold.set(pool, now);
+    const ingress = this;
+    Csp.go(this.env.scope, "tell crowd", () => ingress.rpc.ask(ingress.settings.agent!, "agent.tell", { key: `crowd/${ingress.id}/${pool}`, value: { pool }, grantMs: Constants.lotCrowdHoldMs }, 500));
+  }
+
+  // ---------- lookups: straight to a replica, repeated only where safe ----------
+  /** Resumes the ticket with a reply or the fault. @example Csp.go(scope, "lookup", () => ingress.lookup(ticket, id, accepted, body)); */
+  *lookup(ticket: Ticket, id: string, accepted: Accepted, body: string): Task<void> {
+    this.counts.lookups += 1;
+    const outcome = yield* this.lookupRounds(id, accepted, body, ticket);
+    if (!outcome.ok && outcome.fault.tag === "busy") this.counts.busies += 1;
+    else if (!outcome.ok) this.counts.failures += 1;
+    this.note(`request ${id}`, outcome.ok ? `replied ${outcome.value.status}` : `${outcome.fault.tag}: ${outcome.fault.detail}`, accepted.cause);
+    this.slab.resume(ticket, outcome);
+  }
+  private *lookupRounds(id: string, accepted: Accepted, body: string, ticket: Ticket): Task<Result<Reply>> {
+    const { binding, name, caller } = accepted;
+    const until = this.env.mono() + accepted.deadlineMs;
+    const exclude = new Set<string>();
+    let sent = false;
+    let last: Fault | undefined;
+    let waited = 0;
+    for (let round = 1; round <= Constants.lookupRounds; ) {
+      const left = until - this.env.mono();
+      if (left <= 0) break;
+      const wish = { frame: this.current, pool: binding.pool, binding: name, caller, kind: binding.kind, prefix: "", lane: "live" as const, exclude };
+      const chosen = this.chooser.choose(wish);
+      if (!chosen) {
+        if (exclude.size > 0 && sent) break;
+        const queued = this.waiting.get(binding.pool) ?? 0;
+        this.crowd(binding.pool);
+        if (waited >= Constants.liveWaitMs || queued >= Constants.liveBuffer || this.chooser.eligible(wish).length === 0) {
+          if (sent) break;
+          return Fault.busy("choose", this.id, `no room in pool ${binding.pool}`, Math.round(Constants.retryAfterMs * (0.8 + 0.4 * this.env.random())));
+        }
+        this.waiting.set(binding.pool, queued + 1);
+        yield* EnvTools.sleep(this.env, 20);
+        this.waiting.set(binding.pool, this.waiting.get(binding.pool)! - 1);
+        waited += 20;
+        continue;
+      }
+      if (!this.slab.holds(ticket)) return Fault.fail("broken", "lookup", "caller", "caller went away");
+      this.chooser.begin(chosen);
+      const roundMs = round < Constants.lookupRounds ? Math.min(left, Math.max(200, accepted.deadlineMs / Constants.lookupRounds)) : left;
+      const replied = yield* ReplicaHttp.single(this.env, chosen, { path: binding.path, id, round, body, pieces: [], deadlineMs: roundMs });
+      this.chooser.end(chosen, replied.ok || replied.fault.step === "deliver");
+      if (replied.ok) return replied;
+      last = replied.fault;
+      exclude.add(chosen.key);
+      if (last.tag !== "refused") {
+        sent = true;
+        round += 1;
+      } else if (exclude.size >= 8) break;
+    }
+    if (!sent) return Fault.busy("lookup", this.id, last ? `no replica took it: ${last.detail}` : "deadline passed before there was room", Constants.retryAfterMs);
+    return { ok: false, fault: last! };
+  }
+
+  // ---------- streams and single requests held by a shard ----------
+  /** Opens a request at its shard; ok says whether it is new or known. @example yield* ingress.open(id, accepted, body, hash) */
+  *open(id: string, accepted: Accepted, body: string, bodyHash: string, keyed: boolean, stamp: Stamp): Task<Result<{ tag: "opened" } | { tag: "exists"; same: boolean; state: string }>> {
+    const shard = this.putter.shardOf(id);
+    const work = {
+      id, binding: accepted.name, bodyHash, body, keyed, safe: accepted.binding.safe, exact: accepted.binding.continues === "exact",
+      deadlineAt: this.env.wall() + accepted.deadlineMs, order: accepted.order,
+    };
+    let first = true;
+    const opened = yield* this.putter.askLead<any>(shard, "work.open", () => {
+      const arrival = first ? stamp : this.putter.stamp(this.env.wall());
+      first = false;
+      return { stamp: arrival, work: { ...work, life: Stamp.text(arrival) }, caller: accepted.caller, cause: accepted.cause };
+    }, accepted.deadlineMs, 2000);
+    if (opened.ok || opened.fault.tag === "busy") return opened;
+    if (opened.fault.tag === "unknown") {
+      // it may be running: make sure that it never will, or say plainly that we don't know
+      const refused = yield* this.putter.askLead<any>(shard, "work.refuse", () => ({ id, stamp: this.putter.stamp(this.env.wall()) }), 1500);
+      if (refused.ok && refused.value.refused) return this.busy("open", "no store took it in time", Constants.retryAfterMs);
+      return opened;
+    }
+    if (opened.fault.tag === "timeout" || opened.fault.tag === "refused" || opened.fault.tag === "notLead" || opened.fault.tag === "late") return this.busy("open", opened.fault.detail, Constants.retryAfterMs);
+    return opened;
+  }
+  /** @example yield* ingress.read(id, 3, 800, 12000) */
+  *read(id: string, after: number, waitMs: number, withinMs: number): Task<Result<any>> {
+    return yield* this.putter.askLead(this.putter.shardOf(id), "work.read", () => ({ id, after, waitMs }), withinMs, waitMs + 700);
+  }
+  /** @example ingress.keyedId("confirm", "k1") */
+  keyedId = (name: string, key: string): string => `key-${Hash.text(`${name}\n${key}`)}`;
+  /** The stamp of an arrival: this is the first node it reaches, so rule 1 is checked here. @example const stamp = ingress.stamp(); */
+  stamp(): Result<Stamp> {
+    const stamp = this.putter.stamp(this.env.wall());
+    const bounds = this.current.control?.manifest.doc.clock ?? Stamp.defaults;
+    if (!Stamp.admits(stamp.time, this.env.wall(), bounds)) return this.busy("stamp", "our stamps are ahead of our clock", Constants.retryAfterMs);
+    return Fault.ok(stamp);
+  }
+  /** Temporal reads of a lot's results, from any member of its shard's view. @example yield* ingress.lotResults("L1", 0, 100, 0) */
+  *lotResults(id: string, after: number, limit: number, waitMs: number): Task<Result<any>> {
+    const shard = this.putter.shardOf(id);
+    const until = this.env.mono() + Math.max(waitMs, 500) + 2500;
+    let last: Result<any> = Fault.fail("timeout", "lot results", `shard ${shard}`, "no view is known");
+    while (this.env.mono() < until) {
+      const view = this.current.control?.views[shard];
+      for (const member of view ? [view.lead, ...view.members.filter((each) => each !== view.lead)] : []) {
+        const address = this.current.members.find((each) => each.id === member)?.address;
+        if (!address) continue;
+        last = yield* this.rpc.ask(address, "lot.results", { shard, id, after, limit, waitMs }, waitMs + 700);
+        if (last.ok || last.fault.tag === "notFound") return last;
+      }
+      yield* EnvTools.sleep(this.env, 100);
+    }
+    return last.ok ? last : Fault.busy("lot results", last.fault.member, last.fault.detail, Constants.retryAfterMs);
+  }
+  /** SIGTERM: unready, nothing new, what is in flight ends or is told where to go on. @example yield* ingress.stop(); */
+  *stop(): Task<void> {
+    this.env.log(1002);
+    this.stopping = true;
+    const until = this.env.mono() + Constants.stopGraceMs;
+    while (this.env.mono() < until && this.inFlight > 0) yield* EnvTools.sleep(this.env, 50);
+    yield* EnvTools.sleep(this.env, Constants.ledgerFlushMs + 100);
+    this.env.log(1003);
+  }
+}
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { Cli } from "./cli/cli";
+
+Cli.run(process.argv);
--- /dev/null
+++ b/src/membership/member.ts
@@ -0,0 +1,11 @@
+export type Program = "agent" | "store" | "control";
+/** What is known of a member. `address` is both its TCP and its UDP address. */
+export type Member = {
+  id: string;
+  program: Program;
+  district: string;
+  address: string;
+  http: string;
+  incarnation: number;
+  state: "alive" | "suspect" | "dead" | "left";
+};
--- /dev/null
+++ b/src/shard/shardCopy.ts
@@ -0,0 +1,566 @@
+import { Constants } from "../constants";
+import { Chan, Csp, Task } from "../csp/csp";
+import { Env, EnvTools } from "../env/env";
+import { TwoSlots } from "../env/twoSlots";
+import { Fault, Result } from "../core/fault";
+import { Bounds, Stamp } from "../core/stamp";
+import { Rpc } from "../wire/rpc";
+import { View } from "../control/controlState";
+import { Lot, Put, PutOutcome, ShardData, ShardState, Work } from "./shardState";
+
+/* eslint-disable @typescript-eslint/no-explicit-any */
+export type Entry = { seq: number; epoch: number; frontier: number; puts: Put[] };
+type Noted = { tag: "entry"; entry: Entry } | { tag: "seal"; epoch: number } | { tag: "view"; view: View };
+type Saved = { seq: number; lastEpoch: number; sealed: number; view: View | null; data: ShardData };
+type Pending = { put: Put; reply: Chan<Result<PutOutcome>>; enqueuedAt: number };
+export type CopyStatus = {
+  shard: number; epoch: number; sealed: number; role: "member" | "starting" | "lead" | "out"; seq: number; lastEpoch: number;
+  failing: string[]; wantsView: string; broken: boolean; frontier: number; lots: number; works: number;
+};
+export type CopyHooks = {
+  addressOf(id: string): string | undefined;
+  bounds(): Bounds;
+  vouches(): boolean;
+  started(copy: ShardCopy): void;
+  stopped(copy: ShardCopy): void;
+};
+
+/**
+ * One copy of a shard. The lead orders puts; a put is answered once every member of the view has synced it.
+ * The lead's grant comes from every other member of the view, so no member outside a majority of control
+ * is needed to keep serving, and one sealed member is enough to end it.
+ *
+ * @example
+ * const copy = new ShardCopy(env, rpc, "node-1", 3, new TwoSlots(env, "data/shard-3"), hooks);
+ * yield* copy.open();
+ * const outcome = yield* copy.put({ putId, stamp, ops, cause: {} }, 2000);
+ */
+export class ShardCopy {
+  view: View | undefined;
+  sealed = 0;
+  seq = 0;
+  lastEpoch = 0;
+  applied = 0;
+  appliedEpoch = 0;
+  data: ShardData = ShardState.empty();
+  role: CopyStatus["role"] = "out";
+  exists = false;
+  wantsView = "";
+  private tail: Entry[] = []; // the last entries, for catch-up; ends at seq
+  private sealedInThisLife = 0;
+  private grants = new Map<string, number>(); // lead: member → mono time its grant ends for us
+  private grantedUntil: number; // member: the end of what we granted
+  private failing = new Map<string, number>();
+  private pending: Pending[] = [];
+  private inFlight: Pending[] = [];
+  private wake: Chan<true> = Csp.sliding(1);
+  private token: Chan<true> = Csp.chan(1);
+  private published = 0;
+  private lowDisk = new Map<string, boolean>();
+  private sinceFold = 0;
+  readonly counts = { puts: 0, batches: 0, late: 0, overruns: 0, mended: 0, maxPutMs: 0 };
+
+  constructor(
+    private readonly env: Env,
+    private readonly rpc: Rpc,
+    private readonly self: string,
+    readonly shard: number,
+    private readonly slots: TwoSlots,
+    private readonly hooks: CopyHooks,
+  ) {
+    this.grantedUntil = env.mono() + Constants.shardGrantMs; // a restarted member may have granted just before
+    Csp.offer(this.token, true);
+  }
+
+  /** Takes up what is on disk. @example yield* copy.open(); */
+  *open(): Task<Result<true>> {
+    const opened = yield* this.slots.open();
+    if (!opened.ok) return opened;
+    const saved = opened.value.state as Saved | undefined;
+    if (saved) this.take(saved);
+    for (const noted of opened.value.records as Noted[]) {
+      if (noted.tag === "seal") this.sealed = Math.max(this.sealed, noted.epoch);
+      else if (noted.tag === "view") this.view = noted.view;
+      else this.remember([noted.entry]);
+    }
+    this.exists = saved !== undefined || opened.value.records.length > 0;
+    this.applyAll();
+    if (this.view?.members.includes(this.self)) {
+      this.role = "member";
+      // entries of our time as lead may stand on others' disks only: a new view finds the longest log
+      if (this.view.lead === this.self) this.wantsView = "lead was restarted";
+    }
+    return Fault.ok(true as const);
+  }
+  private take(saved: Saved): void {
+    this.seq = this.applied = saved.seq;
+    this.lastEpoch = this.appliedEpoch = saved.lastEpoch;
+    this.sealed = Math.max(this.sealed, saved.sealed);
+    this.view = saved.view ?? undefined;
+    this.data = saved.data;
+    this.tail = [];
+    this.exists = true;
+  }
+  private remember(entries: Entry[]): void {
+    for (const entry of entries) {
+      this.tail.push(entry);
+      this.seq = entry.seq;
+      this.lastEpoch = entry.epoch;
+    }
+    if (this.tail.length > Constants.shardLogKeep) this.tail.splice(0, this.tail.length - Constants.shardLogKeep);
+    this.sinceFold += entries.length;
+  }
+  private applyAll(): PutOutcome[] {
+    const outcomes: PutOutcome[] = [];
+    for (const entry of this.tail.slice(Math.max(0, this.tail.length - (this.seq - this.applied)))) {
+      ShardState.advance(this.data, entry.frontier);
+      for (const put of entry.puts) outcomes.push(ShardState.apply(this.data, put));
+      this.applied = entry.seq;
+      this.appliedEpoch = entry.epoch;
+    }
+    return outcomes;
+  }
+  private epochAt(seq: number): number | undefined {
+    if (seq === this.seq) return this.lastEpoch;
+    if (seq === 0) return 0;
+    const first = this.tail[0];
+    return first && seq >= first.seq ? this.tail[seq - first.seq]?.epoch : undefined;
+  }
+  private *locked<T>(body: () => Task<T>): Task<T> {
+    yield* Csp.take(this.token);
+    try {
+      return yield* body();
+    } finally {
+      Csp.offer(this.token, true);
+    }
+  }
+  private *write(records: Noted[]): Task<Result<true>> {
+    const done = yield* this.slots.append(records);
+    if (!done.ok) this.breakDown(done.fault);
+    return done;
+  }
+  private breakDown(fault: Fault): void {
+    this.env.log(1404, { shard: this.shard, fault });
+    this.stopLead("disk failed");
+  }
+  private *foldIfLong(): Task<void> {
+    if (this.sinceFold < Constants.shardLogKeep || this.applied !== this.seq) return;
+    this.sinceFold = 0;
+    const done = yield* this.slots.rotate(this.saved());
+    if (!done.ok) this.breakDown(done.fault);
+  }
+  private saved(): Saved {
+    return { seq: this.applied, lastEpoch: this.appliedEpoch, sealed: this.sealed, view: this.view ?? null, data: this.data };
+  }
+
+  // ---------- what others ask ----------
+  /** @example rpc.handle("shard.replicate", (body) => copy.onReplicate(body)); */
+  *onReplicate(body: { epoch: number; view: View; prevSeq: number; prevEpoch: number; entries: Entry[]; frontier: number; stable: number }): Task<Result<any>> {
+    const copy = this;
+    return yield* this.locked<Result<any>>(function* () {
+      if (copy.slots.broken) return Fault.ok({ tag: "broken" });
+      if (body.epoch < copy.sealed || body.epoch < (copy.view?.epoch ?? 0)) return Fault.ok({ tag: "sealed", epoch: copy.sealed });
+      if (copy.role === "lead" && copy.view?.epoch === body.epoch) return Fault.fail("conflict", "replicate", copy.self, "two leads in one epoch");
+      const records: Noted[] = [];
+      if (body.epoch > (copy.view?.epoch ?? 0)) {
+        copy.stopLead("newer view");
+        records.push({ tag: "view", view: body.view });
+      }
+      const matches = body.prevSeq <= copy.seq && copy.epochAt(body.prevSeq) === body.prevEpoch;
+      if (!matches) return Fault.ok({ tag: "behind", seq: copy.seq, lastEpoch: copy.lastEpoch });
+      const fresh = body.entries.filter((entry) => entry.seq > copy.seq);
+      // what we hold beyond the lead's word in an older epoch was never acknowledged by all
+      if (body.entries.some((entry) => entry.seq <= copy.seq && copy.epochAt(entry.seq) !== entry.epoch) || (body.entries.length === 0 && body.prevSeq < copy.seq && copy.lastEpoch < body.epoch))
+        return Fault.ok({ tag: "behind", seq: -1, lastEpoch: -1 });
+      for (const entry of fresh) records.push({ tag: "entry", entry });
+      copy.env.point(41);
+      if (records.length > 0) {
+        const done = yield* copy.write(records);
+        if (!done.ok) return Fault.ok({ tag: "broken" });
+      }
+      copy.exists = true;
+      if (body.epoch > (copy.view?.epoch ?? 0)) {
+        copy.view = body.view;
+        copy.sealed = Math.max(copy.sealed, body.epoch);
+        copy.wantsView = "";
+      }
+      copy.role = "member";
+      copy.remember(fresh);
+      copy.applyAll();
+      if (copy.applied >= body.stable && copy.epochAt(body.stable) !== undefined) ShardState.advance(copy.data, body.frontier);
+      copy.grantedUntil = copy.env.mono() + Constants.shardGrantMs;
+      yield* copy.foldIfLong();
+      copy.env.point(42);
+      return Fault.ok({ tag: "ok", seq: copy.seq, lowDisk: copy.diskLow });
+    });
+  }
+  diskLow = false;
+  /** Survivors seal the old epoch: its lead is refused from then on. @example yield* copy.onSeal({ epoch: 4 }) */
+  *onSeal(body: { epoch: number }): Task<Result<any>> {
+    const copy = this;
+    return yield* this.locked<Result<any>>(function* () {
+      if (!copy.exists) return Fault.fail("notFound", "seal", copy.self, "no copy here");
+      if (copy.slots.broken) return Fault.fail("disk", "seal", copy.self, "disk failed");
+      if (copy.sealed > body.epoch || (copy.view?.epoch ?? 0) >= body.epoch) return Fault.fail("conflict", "seal", copy.self, `sealed for ${copy.sealed}`);
+      const wasLead = copy.role === "lead" || copy.role === "starting";
+      if (copy.sealed < body.epoch) {
+        const done = yield* copy.write([{ tag: "seal", epoch: body.epoch }]);
+        if (!done.ok) return done;
+        copy.sealed = body.epoch;
+      }
+      copy.sealedInThisLife = body.epoch;
+      copy.stopLead("sealed");
+      copy.applyAll();
+      copy.env.point(43);
+      return Fault.ok({
+        seq: copy.seq, lastEpoch: copy.lastEpoch, viewEpoch: copy.view?.epoch ?? 0, wasLead,
+        grantLeftMs: Math.max(0, copy.grantedUntil - copy.env.mono()),
+      });
+    });
+  }
+  /** A new view from control; the lead among its members starts. @example yield* copy.onInstall({ view, waitMs: 0 }) */
+  *onInstall(body: { view: View; waitMs: number }): Task<Result<any>> {
+    const copy = this;
+    const installedAt = this.env.mono();
+    const installed = yield* this.locked<Result<true>>(function* () {
+      const known = copy.view?.epoch ?? 0;
+      if (body.view.epoch < known || copy.sealed > body.view.epoch) return Fault.fail("conflict", "install", copy.self, "a newer epoch is known");
+      if (body.view.epoch === known && copy.exists) return Fault.ok(true as const);
+      if (copy.slots.broken) return Fault.fail("disk", "install", copy.self, "disk failed");
+      if (!body.view.members.includes(copy.self)) {
+        copy.stopLead("not in the new view");
+        copy.role = "out";
+      } else {
+        if (!copy.exists && body.view.epoch > 1) return Fault.fail("notFound", "install", copy.self, "no copy here: never start empty");
+        if (!copy.exists) copy.sealedInThisLife = 1;
+      }
+      copy.stopLead("newer view");
+      const done = yield* copy.write([{ tag: "view", view: body.view }]);
+      if (!done.ok) return done;
+      copy.view = body.view;
+      copy.sealed = Math.max(copy.sealed, body.view.epoch);
+      copy.exists = true;
+      copy.wantsView = "";
+      if (body.view.members.includes(copy.self)) copy.role = "member";
+      copy.env.log(1401, { shard: copy.shard, epoch: body.view.epoch, lead: body.view.lead, members: body.view.members });
+      return Fault.ok(true as const);
+    });
+    if (!installed.ok) return installed;
+    if (this.view?.epoch === body.view.epoch && body.view.lead === this.self && this.role === "member" && !this.wantsView) {
+      if (this.sealedInThisLife !== body.view.epoch) this.wantsView = "lead was restarted before it began";
+      else {
+        this.role = "starting";
+        Csp.go(this.env.scope, `lead of shard ${this.shard}`, () => this.lead(body.view, installedAt + body.waitMs));
+      }
+    }
+    return installed;
+  }
+  /** Everything at once, for a copy too far behind. @example yield* copy.onWhole(body) */
+  *onWhole(body: { epoch: number; saved: Saved; join: boolean }): Task<Result<any>> {
+    const copy = this;
+    return yield* this.locked<Result<any>>(function* () {
+      if (copy.slots.broken) return Fault.fail("disk", "whole", copy.self, "disk failed");
+      if (body.epoch < copy.sealed || body.epoch < (copy.view?.epoch ?? 0)) return Fault.ok({ tag: "sealed", epoch: copy.sealed });
+      copy.stopLead("filled from another");
+      const saved: Saved = { ...body.saved, sealed: Math.max(copy.sealed, body.epoch) };
+      const done = yield* copy.slots.rotate(saved);
+      if (!done.ok) {
+        copy.breakDown(done.fault);
+        return done;
+      }
+      copy.take(saved);
+      copy.role = saved.view?.members.includes(copy.self) ? "member" : "out";
+      copy.env.log(1407, { shard: copy.shard, seq: copy.seq });
+      return Fault.ok({ tag: "ok", seq: copy.seq });
+    });
+  }
+  /** @example yield* copy.onDigest({ seq: 100 }) */
+  *onDigest(body: { seq: number }): Task<Result<any>> {
+    return Fault.ok(this.applied === body.seq ? { digests: ShardState.digests(this.data) } : {});
+  }
+  /** Objects of the given ranges, to mend by. @example yield* copy.onMend({ works, lots }) */
+  *onMend(body: { epoch: number; works: Work[]; lots: Lot[] }): Task<Result<any>> {
+    const copy = this;
+    return yield* this.locked<Result<any>>(function* () {
+      if (body.epoch < copy.sealed || copy.slots.broken) return Fault.ok({ mended: 0 });
+      const mended = ShardState.mend(copy.data, body.works, body.lots);
+      if (mended > 0) {
+        copy.counts.mended += mended;
+        copy.env.log(1408, { shard: copy.shard, objects: mended });
+        const done = yield* copy.slots.rotate(copy.saved());
+        if (!done.ok) copy.breakDown(done.fault);
+      }
+      return Fault.ok({ mended });
+    });
+  }
+  /** @example copy.status().role */
+  status(): CopyStatus {
+    const now = this.env.mono();
+    return {
+      shard: this.shard, epoch: this.view?.epoch ?? 0, sealed: this.sealed, role: this.role, seq: this.seq, lastEpoch: this.lastEpoch,
+      failing: [...this.failing].filter(([, since]) => now - since > Constants.replicateTimeoutMs / 2).map(([id]) => id),
+      wantsView: this.wantsView, broken: this.slots.broken, frontier: this.data.frontier,
+      lots: Object.keys(this.data.lots).length, works: Object.keys(this.data.works).length,
+    };
+  }
+
+  // ---------- the lead ----------
+  private others = (): string[] => (this.view?.members ?? []).filter((id) => id !== this.self);
+  /** Whether the duty is held right now. @example if (!copy.holdsGrant()) return notLead; */
+  holdsGrant(): boolean {
+    const now = this.env.mono();
+    return this.role === "lead" && this.others().every((id) => (this.grants.get(id) ?? 0) > now);
+  }
+  /** Ends our time as lead. @example copy.stopLead("frozen"); */
+  stopLead(why: string): void {
+    if (this.role !== "lead" && this.role !== "starting") return;
+    this.env.log(1412, { shard: this.shard, epoch: this.view?.epoch, why });
+    this.role = this.slots.broken ? "out" : "member";
+    this.grants.clear();
+    for (const pending of this.pending) Csp.offer(pending.reply, Fault.fail("notLead", "put", this.self, why));
+    for (const pending of this.inFlight) Csp.offer(pending.reply, Fault.fail("unknown", "put", this.self, why));
+    this.pending = [];
+    this.inFlight = [];
+    this.wantsView = why;
+    Csp.offer(this.wake, true);
+    this.hooks.stopped(this);
+  }
+  private isLeadOf = (epoch: number): boolean => (this.role === "lead" || this.role === "starting") && this.view?.epoch === epoch;
+
+  private *send(id: string, epoch: number, prevSeq: number, entries: Entry[]): Task<"ok" | "behind" | "over" | "failed"> {
+    const address = this.hooks.addressOf(id);
+    if (!address || !this.view) return "failed";
+    const askedAt = this.env.mono();
+    const replied = yield* this.rpc.ask(address, "shard.replicate", {
+      shard: this.shard, epoch, view: this.view, prevSeq, prevEpoch: this.epochAt(prevSeq) ?? -2, entries, frontier: this.published, stable: this.applied,
+    }, Constants.replicateTimeoutMs);
+    if (!this.isLeadOf(epoch)) return "over";
+    if (!replied.ok) return "failed";
+    switch (replied.value.tag) {
+      case "ok":
+        this.grants.set(id, askedAt + Constants.shardGrantMs - Constants.shardGrantMarginMs);
+        this.lowDisk.set(id, replied.value.lowDisk);
+        this.failing.delete(id);
+        return "ok";
+      case "sealed":
+        this.stopLead(`refused by ${id}: sealed for ${replied.value.epoch}`);
+        return "over";
+      case "behind":
+        return "behind";
+      default:
+        this.failing.set(id, -Infinity); // its disk failed: no use waiting
+        return "failed";
+    }
+  }
+  /** Brings one member to our last entry. */
+  private *bringUp(id: string, epoch: number): Task<boolean> {
+    let next = this.seq;
+    for (let round = 0; round < 200 && this.isLeadOf(epoch); round += 1) {
+      const address = this.hooks.addressOf(id);
+      if (!address) return false;
+      const upTo = this.seq;
+      const entries = next < upTo ? this.tail.filter((entry) => entry.seq > next).slice(0, Constants.fillEntries) : [];
+      const sent = yield* this.send(id, epoch, next, entries);
+      if (sent === "ok") {
+        next += entries.length;
+        if (next >= this.seq) return true;
+      } else if (sent === "behind") {
+        const where = yield* this.rpc.ask(address, "shard.position", { shard: this.shard }, 500);
+        if (!where.ok) return false;
+        const known = where.value.exists && where.value.seq <= this.seq && this.epochAt(where.value.seq) === where.value.lastEpoch && where.value.seq > 0;
+        if (known && where.value.seq !== next && (this.tail[0]?.seq ?? Infinity) <= where.value.seq + 1) next = where.value.seq;
+        else {
+          const whole = yield* this.rpc.ask(address, "shard.whole", { shard: this.shard, epoch, saved: this.saved() }, 5000);
+          if (!whole.ok || whole.value.tag !== "ok") return false;
+          next = this.applied;
+        }
+      } else if (sent === "over") return false;
+      else {
+        this.failSince(id);
+        return false;
+      }
+    }
+    return false;
+  }
+  private failSince(id: string): void {
+    if (!this.failing.has(id)) this.failing.set(id, this.env.mono());
+  }
+  private *lead(view: View, notBefore: number): Task<void> {
+    const epoch = view.epoch;
+    const copy = this;
+    this.failing.clear();
+    this.grants.clear();
+    const ready = Csp.chan<true>(16);
+    for (const id of this.others())
+      Csp.go(this.env.scope, `bring up ${id}`, function* () {
+        while (copy.isLeadOf(epoch) && !(yield* copy.bringUp(id, epoch))) yield* EnvTools.sleep(copy.env, 100);
+        Csp.offer(ready, true);
+      });
+    for (let heard = 0; heard < this.others().length; heard += 1) yield* Csp.take(ready);
+    while (this.env.mono() < notBefore && this.isLeadOf(epoch)) yield* EnvTools.sleep(this.env, notBefore - this.env.mono());
+    if (!this.isLeadOf(epoch)) return;
+    this.env.point(44);
+    this.applyAll();
+    // the former lead may have let reads go as far as the end of its grant: begin there, plus δ
+    this.published = Math.max(this.data.frontier, this.env.wall() + this.hooks.bounds().deltaMs);
+    this.wantsView = "";
+    this.role = "lead";
+    for (const id of this.others()) yield* this.send(id, epoch, this.seq, []);
+    if (!this.isLeadOf(epoch)) return;
+    this.env.log(1411, { shard: this.shard, epoch, seq: this.seq });
+    this.hooks.started(this);
+    Csp.go(this.env.scope, `renewals of shard ${this.shard} epoch ${epoch}`, () => copy.renewLoop(epoch));
+    yield* this.orderLoop(epoch);
+  }
+  private *renewLoop(epoch: number): Task<void> {
+    while (this.isLeadOf(epoch)) {
+      const copy = this;
+      this.advance();
+      for (const id of this.others())
+        Csp.go(this.env.scope, "renew", function* () {
+          const sent = yield* copy.send(id, epoch, copy.applied, []);
+          if (sent === "failed" || sent === "behind") copy.failSince(id);
+          if (sent === "behind") yield* copy.bringUp(id, epoch);
+        });
+      yield* EnvTools.sleep(this.env, Constants.grantRenewMs);
+    }
+  }
+  /** The temporal stability frontier: Δ + 2δ + ε into the past, held back by what is known to be under way. */
+  private advance(): void {
+    if (this.role !== "lead" || !this.hooks.vouches()) return;
+    let candidate = this.env.wall() - Stamp.delay(this.hooks.bounds());
+    for (const pending of [...this.inFlight, ...this.pending]) candidate = Math.min(candidate, pending.put.stamp.time - 0.001);
+    if (candidate > this.published) this.published = candidate;
+    ShardState.advance(this.data, this.published);
+  }
+  /** How far temporal reads may go on this copy. @example const upTo = copy.frontier(); */
+  frontier(): number {
+    this.advance();
+    return this.data.frontier;
+  }
+
+  /** Puts through the lead. "late" and "notLead" mean it was never logged; "unknown" means ask again by the same id. @example yield* copy.put(put, 1000) */
+  *put(put: Put, withinMs: number): Task<Result<PutOutcome>> {
+    if (!this.holdsGrant()) return Fault.fail("notLead", "put", this.self, this.view?.lead ?? "");
+    const repeated = this.data.puts[put.putId];
+    if (repeated) return Fault.ok(repeated);
+    if (this.pending.length >= Constants.shardBufferPuts) return Fault.busy("put", this.self, "shard buffer full", Constants.retryAfterMs);
+    const takesIn = put.ops.some((op) => op.op === "open" || op.op === "lot");
+    if (takesIn && (this.diskLow || [...this.lowDisk.values()].some((low) => low))) return Fault.busy("put", this.self, "a store's disk is nearly full", 5 * Constants.retryAfterMs);
+    this.advance();
+    if (put.stamp.time <= this.published) {
+      this.counts.late += 1;
+      return Fault.fail("late", "put", this.self, `stamp ${Stamp.text(put.stamp)} is behind the frontier ${this.published}`);
+    }
+    const reply = Csp.chan<Result<PutOutcome>>(1);
+    this.pending.push({ put, reply, enqueuedAt: this.env.mono() });
+    Csp.offer(this.wake, true);
+    const replied = yield* EnvTools.takeWithin(this.env, reply, withinMs);
+    return replied ?? Fault.fail("unknown", "put", this.self, "not on every copy in time");
+  }
+  private *orderLoop(epoch: number): Task<void> {
+    const copy = this;
+    while (this.isLeadOf(epoch)) {
+      if (this.pending.length === 0) yield* EnvTools.takeWithin(this.env, this.wake, 1000);
+      if (!this.isLeadOf(epoch)) return;
+      if (this.pending.length === 0) continue;
+      const batch = (this.inFlight = this.pending.splice(0, Constants.putBatch));
+      const entry: Entry = { seq: this.seq + 1, epoch, frontier: this.published, puts: batch.map((pending) => pending.put) };
+      const prevSeq = this.seq;
+      const prevEpoch = this.lastEpoch;
+      const acks = Csp.chan<boolean>(16);
+      const members = this.others();
+      for (const id of members)
+        Csp.go(this.env.scope, `replicate to ${id}`, function* () {
+          Csp.offer(acks, yield* copy.deliverEntry(id, epoch, prevSeq, prevEpoch, entry));
+        });
+      this.env.point(45);
+      const written = yield* this.locked<Result<true>>(function* () {
+        if (!copy.isLeadOf(epoch)) return Fault.fail("notLead", "put", copy.self, "sealed");
+        const done = yield* copy.write([{ tag: "entry", entry }]);
+        if (done.ok) copy.remember([entry]);
+        return done;
+      });
+      if (!written.ok) {
+        this.stopLead("entry not written");
+        return;
+      }
+      this.env.point(46);
+      for (let heard = 0; heard < members.length; heard += 1) if (!(yield* Csp.take(acks)) || !this.isLeadOf(epoch)) return;
+      if (!this.isLeadOf(epoch)) return;
+      const outcomes = this.applyAll();
+      const now = this.env.wall();
+      const bounds = this.hooks.bounds();
+      batch.forEach((pending, at) => {
+        const took = now - pending.put.stamp.time;
+        this.counts.maxPutMs = Math.max(this.counts.maxPutMs, this.env.mono() - pending.enqueuedAt);
+        if (took > bounds.bigDeltaMs + bounds.epsilonMs + bounds.deltaMs) {
+          this.counts.overruns += 1;
+          this.env.log(1406, { shard: this.shard, putId: pending.put.putId, tookMs: Math.round(took) });
+        }
+        Csp.offer(pending.reply, Fault.ok(outcomes[at]));
+      });
+      this.inFlight = [];
+      this.counts.puts += batch.length;
+      this.counts.batches += 1;
+      this.env.point(47);
+      yield* this.locked(() => copy.foldIfLong());
+    }
+  }
+  private *deliverEntry(id: string, epoch: number, prevSeq: number, prevEpoch: number, entry: Entry): Task<boolean> {
+    for (;;) {
+      if (!this.isLeadOf(epoch)) return false;
+      const address = this.hooks.addressOf(id);
+      const askedAt = this.env.mono();
+      const replied = address
+        ? yield* this.rpc.ask(address, "shard.replicate", { shard: this.shard, epoch, view: this.view, prevSeq, prevEpoch, entries: [entry], frontier: entry.frontier, stable: prevSeq }, Constants.replicateTimeoutMs)
+        : undefined;
+      if (!this.isLeadOf(epoch)) return false;
+      if (replied?.ok && replied.value.tag === "ok") {
+        this.grants.set(id, askedAt + Constants.shardGrantMs - Constants.shardGrantMarginMs);
+        this.failing.delete(id);
+        return true;
+      }
+      if (replied?.ok && replied.value.tag === "sealed") {
+        this.stopLead(`refused by ${id}: sealed for ${replied.value.epoch}`);
+        return false;
+      }
+      if (replied?.ok && replied.value.tag === "broken") this.failing.set(id, -Infinity);
+      else this.failSince(id);
+      if (replied?.ok && replied.value.tag === "behind") yield* this.bringUp(id, epoch);
+      yield* EnvTools.sleep(this.env, 40);
+    }
+  }
+  /** Fills a store that is to join; it becomes a member by a further view only. @example yield* copy.fill("node-9") */
+  *fill(target: string): Task<Result<any>> {
+    if (!this.holdsGrant() || !this.view) return Fault.fail("notLead", "fill", this.self, "");
+    const address = this.hooks.addressOf(target);
+    if (!address) return Fault.fail("notFound", "fill", target, "no such member");
+    const where = yield* this.rpc.ask(address, "shard.position", { shard: this.shard }, 500);
+    if (!where.ok) return where;
+    const known = where.value.exists && where.value.seq > 0 && this.epochAt(where.value.seq) === where.value.lastEpoch && (this.tail[0]?.seq ?? Infinity) <= where.value.seq + 1;
+    if (known) return Fault.ok({ tag: "ok" });
+    this.env.point(48);
+    return yield* this.rpc.ask(address, "shard.whole", { shard: this.shard, epoch: this.view.epoch, saved: this.saved() }, 5000);
+  }
+  /** Compares ranges with every other member and mends what differs. @example yield* copy.repair() */
+  *repair(): Task<number> {
+    let mended = 0;
+    for (const id of this.others()) {
+      const address = this.hooks.addressOf(id);
+      if (!address || !this.holdsGrant() || !this.view) continue;
+      const seq = this.applied;
+      const ours = ShardState.digests(this.data);
+      const theirs = yield* this.rpc.ask(address, "shard.digest", { shard: this.shard, seq }, 1000);
+      if (!theirs.ok || !theirs.value.digests || this.applied !== seq) continue;
+      const differing = new Set(ours.flatMap((digest, range) => (digest === theirs.value.digests[range] ? [] : [range])));
+      if (differing.size === 0) continue;
+      const inRange = (object: { id: string }): boolean => differing.has(ShardState.bucketOf(object.id));
+      const replied = yield* this.rpc.ask(address, "shard.mend", {
+        shard: this.shard, epoch: this.view.epoch, works: Object.values(this.data.works).filter(inRange), lots: Object.values(this.data.lots).filter(inRange),
+      }, 2000);
+      if (replied.ok) mended += replied.value.mended;
+    }
+    return mended;
+  }
+}
--- /dev/null
+++ b/src/store/putter.ts
@@ -0,0 +1,75 @@
+import { Constants } from "../constants";
+import { Task } from "../csp/csp";
+import { Env, EnvTools } from "../env/env";
+import { Frame } from "../core/frame";
+import { Fault, Result } from "../core/fault";
+import { Hash } from "../core/hash";
+import { Stamp } from "../core/stamp";
+import { Rpc } from "../wire/rpc";
+import { Cause, Op, PutOutcome } from "../shard/shardState";
+
+/**
+ * Puts and asks to whichever store leads a shard now, until the time is up. A late put is stamped anew
+ * under the same put id; a repeat of a put id changes nothing, so asking again is safe.
+ *
+ * @example
+ * const putter = new Putter(env, rpc, "node-1", () => node.frame());
+ * yield* putter.put(3, "p-1", ops, {}, 5000);
+ */
+export class Putter {
+  readonly stamp: (now: number) => Stamp;
+  restamped = 0;
+  constructor(
+    private readonly env: Env,
+    private readonly rpc: Rpc,
+    self: string,
+    private readonly frame: () => Frame,
+  ) {
+    this.stamp = Stamp.maker(self);
+  }
+  /** @example putter.shardOf("lot-17") */
+  shardOf = (id: string): number => Hash.number(id) % Constants.shardCount;
+  /** @example putter.leadAddress(3) */
+  leadAddress(shard: number): string | undefined {
+    const frame = this.frame();
+    const lead = frame.control?.views[shard]?.lead;
+    return frame.members.find((member) => member.id === lead)?.address;
+  }
+  /** Asks the lead of a shard until it answers; only faults that a new lead or a new stamp may cure are tried again. @example yield* putter.askLead(3, "work.read", () => body, 5000) */
+  *askLead<R = any>(shard: number, verb: string, body: () => Record<string, unknown>, withinMs: number, roundMs = 1200): Task<Result<R>> {
+    const until = this.env.mono() + withinMs;
+    let last: Result<R> = Fault.fail("timeout", verb, `shard ${shard}`, "no lead known");
+    let maybeSent = false;
+    for (let round = 0; ; round += 1) {
+      const left = until - this.env.mono();
+      if (left <= 0) return maybeSent && !last.ok ? Fault.fail("unknown", verb, last.fault.member, last.fault.detail) : last;
+      const address = this.leadAddress(shard);
+      if (address) {
+        last = yield* this.rpc.ask<R>(address, verb, { ...body(), shard }, Math.min(left, roundMs));
+        if (last.ok) return last;
+        switch (last.fault.tag) {
+          case "late":
+            this.restamped += 1;
+            this.env.log(1405, { shard, verb });
+            yield* EnvTools.sleep(this.env, 15);
+            continue;
+          case "timeout":
+          case "broken":
+          case "unknown":
+            maybeSent = true;
+            break;
+          case "refused":
+          case "notLead":
+            break;
+          default:
+            return last;
+        }
+      }
+      yield* EnvTools.sleep(this.env, Math.min(Constants.storeRoundMs, Math.max(1, until - this.env.mono())) * (round === 0 ? 0.3 : 1));
+    }
+  }
+  /** @example yield* putter.put(3, "p-1", [{ op: "note", entries }], {}, 5000) */
+  *put(shard: number, putId: string, ops: Op[], cause: Cause, withinMs: number): Task<Result<PutOutcome>> {
+    return yield* this.askLead<PutOutcome>(shard, "shard.put", () => ({ put: { putId, stamp: this.stamp(this.env.wall()), ops, cause } }), withinMs);
+  }
+}
--- /dev/null
+++ b/src/tools/callers.ts
@@ -0,0 +1,307 @@
+import { Csp, Task } from "../csp/csp";
+import { Env, EnvTools, HttpReply } from "../env/env";
+import { Result } from "../core/fault";
+import { Mix } from "./deployment";
+import { History } from "./history";
+import { StandInReplica } from "./standIns";
+
+type Line = { event: string; id: number; data: any };
+/** Server-sent events out of a reply. */
+function* eventsOf(env: Env, reply: HttpReply, withinMs: number, take: (line: Line) => boolean): Task<"ended" | "broken" | "slow"> {
+  let held = "";
+  const until = env.mono() + withinMs;
+  for (;;) {
+    const chunk = yield* EnvTools.takeWithin(env, reply.chunks, until - env.mono());
+    if (chunk === undefined) {
+      reply.abort();
+      return "slow";
+    }
+    if (chunk === null) return "broken";
+    held += chunk.toString("utf8");
+    for (let at = held.indexOf("\n\n"); at >= 0; at = held.indexOf("\n\n")) {
+      const line: Line = { event: "", id: 0, data: undefined };
+      for (const row of held.slice(0, at).split("\n")) {
+        const [name, ...rest] = row.split(": ");
+        const value = rest.join(": ");
+        if (name === "event") line.event = value;
+        else if (name === "id") line.id = +value;
+        else if (name === "data") line.data = JSON.parse(value);
+      }
+      held = held.slice(at + 2);
+      if (!take(line)) {
+        reply.abort();
+        return "ended";
+      }
+    }
+  }
+}
+
+/**
+ * Stand-in callers: they send the mix of a deployment, check every reply, resume streams elsewhere, follow
+ * lots to their end at every node, and write down what they saw.
+ *
+ * @example
+ * const callers = new Callers(env, mix, ingressHttp, history);
+ * callers.start(1);
+ * callers.stopNew();
+ */
+export class Callers {
+  private open = true;
+  private next = 0;
+  running = 0;
+  load = 1;
+  private readonly salt: string;
+  readonly acceptedLots = new Map<string, { items: number; binding: string }>();
+  constructor(
+    readonly env: Env,
+    private readonly mix: Mix,
+    private readonly ingresses: string[],
+    readonly history: History,
+  ) {
+    this.salt = EnvTools.id(env, "c").slice(2, 8);
+  }
+  /** Starts the mix at a multiple of its rate. @example callers.start(2); */
+  start(load: number): void {
+    this.load = load;
+    const pace = (name: string, everyMs: () => number, act: (n: number) => Task<void>): void => {
+      const callers = this;
+      EnvTools.keep(this.env, this.env.scope, `pace ${name}`, function* () {
+        while (callers.open) {
+          yield* EnvTools.sleep(callers.env, everyMs() * (0.5 + callers.env.random()));
+          if (!callers.open) break;
+          const n = (callers.next += 1);
+          callers.running += 1;
+          Csp.go(callers.env.scope, `${name} ${n}`, function* () {
+            try {
+              yield* act(n);
+            } finally {
+              callers.running -= 1;
+            }
+          });
+        }
+        for (;;) yield* EnvTools.sleep(callers.env, 3_600_000);
+      });
+    };
+    const { lookups, streams, singles, lots } = this.mix;
+    pace("lookup", () => 1000 / (lookups.perSecond * this.load), (n) => this.lookup(n));
+    for (const stream of streams) pace(stream.binding, () => 1000 / (stream.perSecond * this.load), (n) => this.stream(n, stream));
+    pace("single", () => 1000 / (singles.perSecond * this.load), (n) => this.single(n));
+    pace("lot", () => lots.everyMs / this.load, (n) => this.lot(n));
+  }
+  /** No new calls; what is under way goes on. @example callers.stopNew(); */
+  stopNew(): void {
+    this.open = false;
+  }
+  private ingress = (): string => this.ingresses[Math.floor(this.env.random() * this.ingresses.length)];
+  private *post(address: string, path: string, body: unknown, timeoutMs: number, headers: Record<string, string> = {}): Task<{ status: number; headers: Record<string, string>; body: any } | undefined> {
+    const replied = yield* this.env.http(address, { method: "POST", path, body: JSON.stringify(body), headers, timeoutMs });
+    return yield* this.whole(replied, timeoutMs);
+  }
+  private *get(address: string, path: string, timeoutMs: number): Task<{ status: number; headers: Record<string, string>; body: any } | undefined> {
+    return yield* this.whole(yield* this.env.http(address, { method: "GET", path, timeoutMs }), timeoutMs);
+  }
+  private *whole(replied: Result<HttpReply>, timeoutMs: number): Task<{ status: number; headers: Record<string, string>; body: any } | undefined> {
+    if (!replied.ok) return undefined;
+    const text = yield* EnvTools.bodyOf(this.env, replied.value, 8_000_000, timeoutMs);
+    if (text === undefined) return undefined;
+    try {
+      return { status: replied.value.status, headers: replied.value.headers, body: JSON.parse(text) };
+    } catch {
+      return { status: replied.value.status, headers: replied.value.headers, body: undefined };
+    }
+  }
+  /** Writes down a reply that is no success. */
+  private sorry(kind: string, startedAt: number, reply: { status: number; headers: Record<string, string>; body: any } | undefined): void {
+    const at = this.env.wall();
+    const requestId = String(reply?.body?.requestId ?? "");
+    if (reply?.status === 503) this.history.add({ tag: "busy", at, tookMs: this.env.mono() - startedAt, kind, requestId, retryAfter: reply.headers["retry-after"] !== undefined });
+    else this.history.add({ tag: "failed", at, kind, requestId, code: String(reply?.body?.code ?? "connection"), detail: String(reply?.body?.detail ?? "") });
+  }
+
+  private *lookup(n: number): Task<void> {
+    const token = `${this.salt}-${n}`;
+    const startedAt = this.env.mono();
+    const ingress = this.ingress();
+    const reply = yield* this.post(ingress, `/v1/requests/${this.mix.lookups.binding}`, { q: token }, 5000);
+    if (reply?.status !== 200) return this.sorry("lookup", startedAt, reply);
+    const at = this.env.wall();
+    this.history.add({ tag: "lookup", at, tookMs: this.env.mono() - startedAt, status: 200, mine: reply.body?.echo?.q === token, ingress });
+    this.history.add({ tag: "served", at, kind: "lookup" });
+  }
+
+  private *stream(n: number, kind: Mix["streams"][number]): Task<void> {
+    const startedAt = this.env.mono();
+    const prefix = `system prompt ${Math.floor(this.env.random() * kind.prefixes)} of ${kind.binding} `.padEnd(kind.prefixBytes, "kiln ");
+    const prompt = `${prefix} question ${this.salt}-${n}`;
+    let id = "";
+    let after = 0;
+    let resumes = 0;
+    let firstMs = 0;
+    let ended = false;
+    let failed: any;
+    const until = this.env.mono() + 45_000;
+    while (!ended && !failed && this.env.mono() < until) {
+      const replied: Result<HttpReply> = id === ""
+        ? yield* this.env.http(this.ingress(), { method: "POST", path: `/v1/requests/${kind.binding}`, body: JSON.stringify({ prompt, pieces: kind.pieces }), timeoutMs: 20_000 })
+        : yield* this.env.http(this.ingress(), { method: "GET", path: `/v1/streams/${id}`, headers: { "last-event-id": String(after) }, timeoutMs: 20_000 });
+      if (!replied.ok || replied.value.status !== 200) {
+        if (id === "") {
+          const reply = yield* this.whole(replied, 2000);
+          return this.sorry(`stream ${kind.binding}`, startedAt, reply);
+        }
+        const reply = yield* this.whole(replied, 2000);
+        if (reply && reply.status !== 503 && reply.status !== 504) failed = reply.body;
+        yield* EnvTools.sleep(this.env, 300);
+        resumes += 1;
+        continue;
+      }
+      id = replied.value.headers["x-request-id"];
+      const how = yield* eventsOf(this.env, replied.value, 30_000, (line) => {
+        switch (line.event) {
+          case "piece":
+            if (firstMs === 0) firstMs = this.env.mono() - startedAt;
+            this.history.add({ tag: "streamPiece", stream: n, n: line.id, right: line.id === after + 1 && line.data.piece === StandInReplica.pieceOf(prompt, line.id) });
+            after = line.id;
+            return true;
+          case "end":
+            ended = true;
+            return false;
+          case "error":
+            if (line.data.code !== "unknown" && line.data.code !== "timeout") failed = line.data;
+            return false;
+          default:
+            return false;
+        }
+      });
+      if (!ended && !failed) {
+        resumes += 1;
+        yield* EnvTools.sleep(this.env, how === "broken" ? 100 : 20);
+      }
+    }
+    const at = this.env.wall();
+    if (!ended) {
+      this.history.add({ tag: "failed", at, kind: `stream ${kind.binding}`, requestId: id, code: String(failed?.code ?? "noEnd"), detail: String(failed?.detail ?? "") });
+      return;
+    }
+    this.history.add({ tag: "streamEnd", stream: n, at, tookMs: this.env.mono() - startedAt, firstMs, pieces: after, wanted: kind.pieces, resumes, binding: kind.binding });
+    this.history.add({ tag: "served", at, kind: "stream" });
+  }
+
+  /** A confirmation that must not be doubled: the same key until there is a plain answer. */
+  private *single(n: number): Task<void> {
+    const key = `${this.salt}-key-${n}`;
+    const startedAt = this.env.mono();
+    const token = `${this.salt}-${n}`;
+    for (let round = 0; round < 8; round += 1) {
+      const reply = yield* this.post(this.ingress(), `/v1/requests/${this.mix.singles.binding}`, { q: token }, 20_000, { "idempotency-key": key });
+      if (reply?.status === 200) {
+        const at = this.env.wall();
+        this.history.add({ tag: "single", at, key, requestId: reply.headers["x-request-id"], status: 200, mine: reply.body?.echo?.q === token, tookMs: this.env.mono() - startedAt, ran: String(reply.body?.id ?? "") });
+        return;
+      }
+      if (reply && reply.status !== 503 && reply.body?.code === "unknown" && reply.body?.step === "run") return this.sorry("single", startedAt, reply);
+      // busy or no answer: the same key may be asked again
+      yield* EnvTools.sleep(this.env, 1000);
+    }
+    this.history.add({ tag: "failed", at: this.env.wall(), kind: "single", requestId: "", code: "noAnswer", detail: key });
+  }
+
+  private *lot(n: number): Task<void> {
+    const { binding, items, endOneIn } = this.mix.lots;
+    const lot = `${this.salt}-lot-${n}`;
+    const startedAt = this.env.mono();
+    const body = { id: lot, binding, items: Array.from({ length: items }, (_each, at) => ({ q: `${lot}/${at}` })) };
+    let accepted = false;
+    for (let round = 0; round < 30 && !accepted; round += 1) {
+      const reply = yield* this.post(this.ingress(), "/v1/lots", body, 12_000);
+      if (reply && (reply.status === 202 || reply.status === 200)) accepted = true;
+      else {
+        if (round === 0) this.sorry("lot", startedAt, reply);
+        if (reply && reply.status < 500) return;
+        yield* EnvTools.sleep(this.env, 1000);
+      }
+    }
+    if (!accepted) return;
+    const acceptedAt = this.env.wall();
+    this.history.add({ tag: "lotAccepted", at: acceptedAt, lot, items, binding });
+    this.history.add({ tag: "served", at: acceptedAt, kind: "lot" });
+    this.acceptedLots.set(lot, { items, binding });
+    if (n % endOneIn === 0) {
+      yield* EnvTools.sleep(this.env, 120);
+      for (let round = 0; round < 20; round += 1) {
+        const reply = yield* this.post(this.ingress(), `/v1/lots/${lot}/end`, {}, 5000);
+        if (reply?.status === 200) {
+          this.history.add({ tag: "lotEnded", lot, at: this.env.wall() });
+          break;
+        }
+        yield* EnvTools.sleep(this.env, 300);
+      }
+    }
+    yield* this.follow(lot, items, acceptedAt);
+  }
+  /** Reads results at changing nodes until all are there, then once more at every node. */
+  private *follow(lot: string, items: number, acceptedAt: number): Task<void> {
+    const order: number[] = [];
+    const until = this.env.mono() + 90_000;
+    let finished = false;
+    let ended = false;
+    while (!finished && this.env.mono() < until) {
+      const ingress = this.ingress();
+      const reply = yield* this.get(ingress, `/v1/lots/${lot}/results?after=${order.length}&waitMs=800`, 6000);
+      if (reply?.status === 404) {
+        this.history.add({ tag: "lotLost", lot, at: this.env.wall(), detail: String(reply.body?.detail) });
+        return;
+      }
+      if (reply?.status !== 200) {
+        yield* EnvTools.sleep(this.env, 300);
+        continue;
+      }
+      if (order.length === 0 && reply.body.results.length > 0 && this.env.random() < 0.25) this.everywhere(lot, ingress);
+      for (const result of reply.body.results) {
+        let mine = true;
+        if (result.state === "done") mine = JSON.parse(result.result)?.echo?.q === `${lot}/${result.item}`;
+        this.history.add({ tag: "lotResult", lot, position: result.position, item: result.item, state: result.state, at: this.env.wall(), ingress, mine });
+        order.push(result.item);
+      }
+      finished = reply.body.finished;
+      ended = reply.body.ended;
+      if (!finished && reply.body.results.length === 0) yield* EnvTools.sleep(this.env, 150);
+    }
+    if (!finished) {
+      this.history.add({ tag: "lotLost", lot, at: this.env.wall(), detail: `${order.length} of ${items} results after 90 s` });
+      return;
+    }
+    this.history.add({ tag: "lotFinished", lot, at: this.env.wall(), tookMs: this.env.wall() - acceptedAt, ended, results: order.length });
+  }
+  /** How long after the first sight of a result at one node the others show it too. */
+  private everywhere(lot: string, seenAt: string): void {
+    const firstAt = this.env.wall();
+    for (const ingress of this.ingresses.filter((each) => each !== seenAt)) {
+      const callers = this;
+      Csp.go(this.env.scope, `read ${lot} at ${ingress}`, function* () {
+        for (let round = 0; round < 40; round += 1) {
+          const reply = yield* callers.get(ingress, `/v1/lots/${lot}/results?after=0&limit=1`, 4000);
+          if (reply?.status === 200 && reply.body.results.length > 0) {
+            callers.history.add({ tag: "lotReadable", lot, ingress, at: callers.env.wall(), afterMs: callers.env.wall() - firstAt });
+            return;
+          }
+          yield* EnvTools.sleep(callers.env, 100);
+        }
+        callers.history.add({ tag: "lotReadable", lot, ingress, at: callers.env.wall(), afterMs: callers.env.wall() - firstAt });
+      });
+    }
+  }
+  /** At day's end: every accepted lot, whole and in the same order, at a node. @example yield* callers.reread("127.0.0.1:7100"); */
+  *reread(ingress: string): Task<void> {
+    for (const lot of this.acceptedLots.keys()) {
+      let reply: { status: number; body: any } | undefined;
+      for (let round = 0; round < 15 && reply?.status !== 200; round += 1) {
+        reply = yield* this.get(ingress, `/v1/lots/${lot}/results?limit=2000`, 6000);
+        if (reply?.status === 200 && !reply.body.finished) reply = undefined;
+        if (reply?.status === 404) break;
+        if (reply?.status !== 200) yield* EnvTools.sleep(this.env, 400);
+      }
+      this.history.add({ tag: "lotReread", lot, at: this.env.wall(), ingress, order: (reply?.body?.results ?? []).map((result: any) => result.item).join(","), complete: reply?.status === 200 });
+    }
+  }
+}
--- /dev/null
+++ b/src/wire/rpc.ts
@@ -0,0 +1,154 @@
+import { Constants } from "../constants";
+import { Chan, Csp, Task } from "../csp/csp";
+import { Env, EnvTools, Link } from "../env/env";
+import { Fault, Result } from "../core/fault";
+import { Wire } from "./wire";
+
+/* eslint-disable @typescript-eslint/no-explicit-any */
+export type Handler = (body: any, sender: string) => Task<Result<unknown>>;
+type Waiting = { reply: Chan<Result<unknown>>; step: string };
+type Connection = { link: Link; waiting: Map<number, Waiting>; lastHeard: number };
+
+/**
+ * Asks and replies between members, over one connection a pair.
+ *
+ * @example
+ * const rpc = new Rpc(env, "kiln", "node-1");
+ * rpc.handle("echo", function* (body) { return Fault.ok(body); });
+ * yield* rpc.serve("127.0.0.1:7001");
+ * const replied = yield* rpc.ask("127.0.0.1:7002", "echo", { a: 1 }, 500);
+ */
+export class Rpc {
+  private readonly handlers = new Map<string, Handler>();
+  private readonly connections = new Map<string, Connection>();
+  private readonly connecting = new Map<string, Chan<true>>();
+  private correlation = 0;
+  dropped = 0;
+  asked = 0;
+  constructor(
+    private readonly env: Env,
+    private readonly cluster: string,
+    private readonly self: string,
+  ) {}
+
+  /** @example rpc.handle("seal", sealHandler); */
+  handle(verb: string, handler: Handler): void {
+    this.handlers.set(verb, handler);
+  }
+
+  /** @example yield* rpc.serve("127.0.0.1:7001"); */
+  *serve(address: string): Task<Result<true>> {
+    const links = yield* this.env.listen(address);
+    if (!links.ok) return links;
+    const rpc = this;
+    Csp.go(this.env.scope, "rpc listener", function* () {
+      for (;;) {
+        const link = yield* Csp.take(links.value);
+        if (link === null) return;
+        Csp.go(rpc.env.scope, `link from ${link.member}`, () => rpc.serveLink(link));
+      }
+    });
+    return Fault.ok(true as const);
+  }
+
+  private *serveLink(link: Link): Task<void> {
+    for (;;) {
+      const frame = yield* Csp.take(link.incoming);
+      if (frame === null) return;
+      const envelope = Wire.decode(frame, this.cluster);
+      if (!envelope || envelope.kind !== "ask") {
+        this.dropped += 1;
+        this.env.log(1105, { from: link.member });
+        link.close();
+        return;
+      }
+      const handler = this.handlers.get(envelope.verb);
+      const rpc = this;
+      Csp.go(this.env.scope, `ask ${envelope.verb}`, function* () {
+        let result: Result<unknown>;
+        try {
+          result = handler
+            ? yield* handler(envelope.body, envelope.sender)
+            : Fault.fail("invalid", envelope.verb, rpc.self, "unknown verb");
+        } catch (error) {
+          if (!rpc.env.scope.alive) throw error;
+          rpc.env.log(1004, { task: `ask ${envelope.verb}`, error: String((error as Error).stack ?? error) });
+          result = Fault.fail("internal", envelope.verb, rpc.self, String(error));
+        }
+        link.send(Wire.encode({
+          kind: result.ok ? "reply" : "fault", correlation: envelope.correlation, cluster: rpc.cluster,
+          verb: envelope.verb, sender: rpc.self, body: result.ok ? result.value : result.fault,
+        }));
+      });
+    }
+  }
+
+  private *connection(address: string): Task<Result<Connection>> {
+    for (;;) {
+      const known = this.connections.get(address);
+      if (known) return Fault.ok(known);
+      const busy = this.connecting.get(address);
+      if (!busy) break;
+      yield* Csp.take(busy);
+    }
+    const done = Csp.chan<true>(1);
+    this.connecting.set(address, done);
+    const linked = yield* this.env.connect(address, Constants.connectTimeoutMs / 2);
+    this.connecting.delete(address);
+    done.close();
+    if (!linked.ok) return linked;
+    const connection: Connection = { link: linked.value, waiting: new Map(), lastHeard: this.env.mono() };
+    this.connections.set(address, connection);
+    const rpc = this;
+    Csp.go(this.env.scope, `link to ${address}`, function* () {
+      for (;;) {
+        const frame = yield* Csp.take(connection.link.incoming);
+        if (frame === null) break;
+        connection.lastHeard = rpc.env.mono();
+        const envelope = Wire.decode(frame, rpc.cluster);
+        if (!envelope) {
+          rpc.dropped += 1;
+          connection.link.close();
+          break;
+        }
+        const waiting = connection.waiting.get(envelope.correlation);
+        connection.waiting.delete(envelope.correlation);
+        if (waiting) Csp.offer(waiting.reply, envelope.kind === "reply" ? Fault.ok(envelope.body) : { ok: false, fault: envelope.body as Fault });
+      }
+      rpc.forget(address, connection);
+    });
+    return Fault.ok(connection);
+  }
+
+  private forget(address: string, connection: Connection): void {
+    if (this.connections.get(address) === connection) this.connections.delete(address);
+    connection.link.close();
+    for (const waiting of connection.waiting.values())
+      Csp.offer(waiting.reply, Fault.fail("broken", waiting.step, address, "connection ended"));
+    connection.waiting.clear();
+  }
+
+  /** Asks a member; the fault says whether anything may have been sent. @example yield* rpc.ask(address, "status", {}, 500) */
+  *ask<T = any>(address: string, verb: string, body: unknown, timeoutMs: number): Task<Result<T>> {
+    const startedAt = this.env.mono();
+    this.asked += 1;
+    const connected = yield* this.connection(address);
+    if (!connected.ok) return connected;
+    const connection = connected.value;
+    const correlation = (this.correlation = (this.correlation + 1) % 0xffffffff);
+    const waiting: Waiting = { reply: Csp.chan(1), step: verb };
+    connection.waiting.set(correlation, waiting);
+    const sent = connection.link.send(Wire.encode({ kind: "ask", correlation, cluster: this.cluster, verb, sender: this.self, body }));
+    if (!sent) {
+      connection.waiting.delete(correlation);
+      this.forget(address, connection);
+      return Fault.fail("broken", verb, address, "connection is down or full");
+    }
+    const reply = yield* EnvTools.takeWithin(this.env, waiting.reply, timeoutMs - (this.env.mono() - startedAt));
+    connection.waiting.delete(correlation);
+    if (reply) return reply as Result<T>;
+    // silent for as long as this ask: the connection may be dead though nobody said so
+    if (connection.lastHeard < startedAt) this.forget(address, connection);
+    return Fault.fail("timeout", verb, address, `no reply in ${Math.round(timeoutMs)} ms`);
+  }
+}
