--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -2,6 +2,7 @@
 import { DaemonCommand } from "./daemonCommand";
 import { FleetCommand } from "./fleetCommand";
 import { OperatorCommands } from "./operatorCommands";
+import { SimCommand } from "./simCommand";
 
 /**
  * The command line of the one executable.
@@ -16,6 +17,7 @@
     DaemonCommand.add(program);
     OperatorCommands.add(program);
     FleetCommand.add(program);
+    SimCommand.add(program);
     const fail = (text: string): never => {
       process.stderr.write(`${text}\n`);
       process.exit(2);
--- a/src/tools/callers.ts
+++ b/src/tools/callers.ts
@@ -92,7 +92,12 @@
   stopNew(): void {
     this.open = false;
   }
-  private ingress = (): string => this.ingresses[Math.floor(this.env.random() * this.ingresses.length)];
+  /** Nodes that the platform sends nobody to just now. */
+  readonly avoid = new Set<string>();
+  private ingress(): string {
+    const ready = this.ingresses.filter((address) => !this.avoid.has(address));
+    return ready[Math.floor(this.env.random() * ready.length)];
+  }
   private *post(address: string, path: string, body: unknown, timeoutMs: number, headers: Record<string, string> = {}): Task<{ status: number; headers: Record<string, string>; body: any } | undefined> {
     const replied = yield* this.env.http(address, { method: "POST", path, body: JSON.stringify(body), headers, timeoutMs });
     return yield* this.whole(replied, timeoutMs);
