--- a/src/sim/simWorld.ts
+++ b/src/sim/simWorld.ts
@@ -138,11 +138,11 @@
     for (;;) {
       const next = this.heap.peek();
       if (!next || next.time > until) break;
-      this.now = next.time;
+      this.now = Math.max(this.now, next.time);
       while (this.heap.peek() && this.heap.peek()!.time <= this.now) this.heap.pop()!.run();
       await this.settle();
     }
-    this.now = until;
+    this.now = Math.max(this.now, until);
   }
   /** Runs a task of a process to its end, virtual time passing; undefined if not in time. @example await world.finish(process, task, 5000) */
   async finish<T>(process: SimProcess, body: () => Task<T>, withinMs: number): Promise<T | undefined> {
--- a/src/store/work.ts
+++ b/src/store/work.ts
@@ -361,16 +361,24 @@
     return put.ok ? Fault.ok({ ended: true }) : put;
   }
 
+  /** A lot whose put outran the handler's patience was accepted all the same. */
+  private noteOpenLots(copy: ShardCopy): void {
+    for (const lot of Object.values(copy.data.lots)) if (lot.open > 0 && !lot.ended) this.openLots.set(lot.id, copy.shard);
+  }
   /** A shard's lead begins: what its log calls for is taken up. @example work.leadStarted(copy); */
   leadStarted(copy: ShardCopy): void {
-    for (const lot of Object.values(copy.data.lots)) if (lot.open > 0) this.openLots.set(lot.id, copy.shard);
+    this.noteOpenLots(copy);
     Csp.go(this.env.scope, `take up shard ${copy.shard}`, () => this.takeUp(copy, copy.view!.epoch));
   }
-  /** Claims whose put outran its caller's patience are found here too. */
+  /** Claims and lots whose put outran its caller's patience are found here. */
   private *orphanLoop(): Task<void> {
     for (;;) {
       yield* EnvTools.sleep(this.env, Constants.orphanPeriodMs);
-      for (const copy of this.copies.values()) if (copy.holdsGrant()) yield* this.takeUp(copy, copy.view!.epoch);
+      for (const copy of this.copies.values()) {
+        if (!copy.holdsGrant()) continue;
+        this.noteOpenLots(copy);
+        yield* this.takeUp(copy, copy.view!.epoch);
+      }
     }
   }
   /** @example work.leadStopped(copy); */
--- /dev/null
+++ b/test/clock.test.ts
@@ -0,0 +1,73 @@
+import { Stamp } from "../src/core/stamp";
+import { Put, ShardState } from "../src/shard/shardState";
+
+const bounds = { deltaMs: 25, epsilonMs: 50, bigDeltaMs: 250 };
+const note = (putId: string, time: number, subject = "thing", node = "n"): Put => ({ putId, stamp: { time, node, seq: 0 }, ops: [{ op: "note", entries: [{ subject, decision: putId, cause: {} }] }], cause: {} });
+
+test("rule 1: a stamp at the edges now − δ − ε and now + δ is taken, one past them is not", () => {
+  expect([924.9, 925, 1000, 1025, 1025.1].map((time) => Stamp.admits(time, 1000, bounds))).toEqual([false, true, true, true, false]);
+});
+test("rule 2: a read indexes Δ + 2δ + ε into the past", () => {
+  expect(Stamp.delay(bounds)).toBe(350);
+});
+test("stamps of one node only grow, though its clock stands still or steps back, and their text loses nothing", () => {
+  const next = Stamp.maker("n");
+  const stamps = [5.7, 5.9, 4, 6].map(next);
+  for (let at = 1; at < stamps.length; at += 1) expect(Stamp.compare(stamps[at - 1], stamps[at])).toBeLessThan(0);
+  expect(stamps.map((stamp) => Stamp.parse(Stamp.text(stamp)))).toEqual(stamps);
+  expect(["", "x~n~0", "5~n", "5~n~0.5"].map(Stamp.parse)).toEqual([undefined, undefined, undefined, undefined]);
+});
+test("rule 3: the index holds only what lies behind the frontier, in stamp order, whatever order the log has", () => {
+  const data = ShardState.empty();
+  for (const put of [note("c", 30), note("a", 10), note("b", 20)]) ShardState.apply(data, put);
+  expect(data.ledger).toEqual([]);
+  ShardState.advance(data, 20);
+  expect(data.ledger.map((entry) => entry.decision)).toEqual(["a", "b"]);
+  ShardState.advance(data, 15); // never back
+  expect(data.frontier).toBe(20);
+  ShardState.advance(data, 31);
+  expect(data.ledger.map((entry) => entry.decision)).toEqual(["a", "b", "c"]);
+});
+test("a temporal read gets the nearest version not prior to τ: equal, between, none", () => {
+  const data = ShardState.empty();
+  for (const put of [note("v1", 10), note("other", 15, "other thing"), note("v2", 20)]) ShardState.apply(data, put);
+  ShardState.advance(data, 19);
+  expect(ShardState.nearest(data, "thing", 10)?.decision).toBe("v1"); // equal
+  expect(ShardState.nearest(data, "thing", 5)?.decision).toBe("v1"); // before the first
+  expect(ShardState.nearest(data, "thing", 11)).toBeUndefined(); // the next is not stable yet
+  ShardState.advance(data, 20);
+  expect(ShardState.nearest(data, "thing", 11)?.decision).toBe("v2"); // between
+  expect(ShardState.nearest(data, "thing", 21)).toBeUndefined(); // none
+});
+test("a repeated put id changes nothing and gets the first outcome", () => {
+  const data = ShardState.empty();
+  const lot: Put = { putId: "p", stamp: { time: 1, node: "n", seq: 0 }, ops: [{ op: "lot", lot: { id: "L", binding: "b", bodyHash: "h", bodies: ["1", "2"], safe: false, order: 1 } }], cause: {} };
+  expect(ShardState.apply(data, lot)).toEqual({ tag: "done" });
+  expect(ShardState.apply(data, lot)).toEqual({ tag: "done" });
+  expect(data.waiting).toHaveLength(1);
+  expect(ShardState.apply(data, { ...lot, putId: "q", ops: [{ ...lot.ops[0], lot: { ...(lot.ops[0] as { lot: object }).lot, bodyHash: "other" } } as Put["ops"][0]] })).toEqual({ tag: "exists", same: false, state: "open" });
+});
+test("an item is claimed once, gives one result, and an ended lot starts nothing", () => {
+  const data = ShardState.empty();
+  let time = 0;
+  const put = (op: Put["ops"][0]): string => ShardState.apply(data, { putId: `p${(time += 1)}`, stamp: { time, node: "n", seq: 0 }, ops: [op], cause: {} }).tag;
+  expect(put({ op: "lot", lot: { id: "L", binding: "b", bodyHash: "h", bodies: ["1", "2", "3"], safe: false, order: 1 } })).toBe("done");
+  expect(put({ op: "itemClaim", lot: "L", item: 0, round: 1, replica: "r", owner: "s" })).toBe("done");
+  expect(put({ op: "itemClaim", lot: "L", item: 0, round: 1, replica: "q", owner: "t" })).toBe("no");
+  expect(put({ op: "itemResult", lot: "L", item: 0, round: 1, state: "done", result: "x" })).toBe("done");
+  expect(put({ op: "itemResult", lot: "L", item: 0, round: 1, state: "done", result: "y" })).toBe("no");
+  expect(put({ op: "itemClaim", lot: "L", item: 1, round: 1, replica: "r", owner: "s" })).toBe("done");
+  expect(put({ op: "lotEnd", lot: "L", by: "c" })).toBe("done");
+  expect(put({ op: "itemClaim", lot: "L", item: 2, round: 1, replica: "r", owner: "s" })).toBe("no");
+  expect(put({ op: "itemRelease", lot: "L", item: 1, round: 1, why: "unsent" })).toBe("done");
+  expect(data.lots.L.items.map((item) => item.state)).toEqual(["done", "ended", "ended"]);
+  expect(data.lots.L.open).toBe(0);
+});
+test("what was refused may come again only as a later arrival", () => {
+  const data = ShardState.empty();
+  const open = (putId: string, arrival: number, at: number): string =>
+    ShardState.apply(data, { putId, stamp: { time: at, node: "n", seq: 0 }, ops: [{ op: "open", work: { id: "k", binding: "b", bodyHash: "h", body: "{}", keyed: true, safe: false, exact: false, deadlineAt: 0, order: 1, life: Stamp.text({ time: arrival, node: "n", seq: 0 }) } }], cause: {} }).tag;
+  expect(ShardState.apply(data, { putId: "r", stamp: { time: 50, node: "n", seq: 0 }, ops: [{ op: "close", id: "k", round: 0, state: "refused", outcome: "" }], cause: {} }).tag).toBe("done");
+  expect(open("late", 40, 60)).toBe("exists"); // the attempt that was told busy, arriving after all
+  expect(open("again", 55, 61)).toBe("done");
+});
--- /dev/null
+++ b/test/disk.test.ts
@@ -0,0 +1,79 @@
+import { Csp, Task } from "../src/csp/csp";
+import { TwoSlots } from "../src/env/twoSlots";
+import { SimDisk } from "../src/sim/simDisk";
+import { SimWorld } from "../src/sim/simWorld";
+
+const inWorld = async <T>(world: SimWorld, disk: SimDisk, body: (slots: TwoSlots) => Task<T>): Promise<T> => {
+  const process = world.start(`p${world.now}`, disk);
+  return (await world.finish(process, () => body(new TwoSlots(process.env, "d")), 60_000)) as T;
+};
+const records = function* (slots: TwoSlots): Task<unknown> {
+  const opened = yield* slots.open();
+  return opened.ok ? { state: opened.value.state, records: opened.value.records } : opened.fault.detail;
+};
+
+test("records and slots come back as they were written, through rotations", async () => {
+  const world = new SimWorld(1);
+  const disk = new SimDisk(world);
+  await inWorld(world, disk, function* (slots) {
+    yield* slots.open();
+    yield* slots.append([1]);
+    yield* slots.rotate({ upTo: 1 });
+    yield* slots.append([2, 3]);
+    yield* slots.rotate({ upTo: 3 });
+    yield* slots.append([4]);
+  });
+  expect(await inWorld(world, disk, records)).toEqual({ state: { upTo: 3 }, records: [4] });
+});
+test("a damaged newest slot is made good by the other slot and both logs", async () => {
+  const world = new SimWorld(2);
+  const disk = new SimDisk(world);
+  await inWorld(world, disk, function* (slots) {
+    yield* slots.open();
+    yield* slots.append([1]);
+    yield* slots.rotate({ upTo: 1 });
+    yield* slots.append([2]);
+    yield* slots.rotate({ upTo: 2 });
+    yield* slots.append([3]);
+  });
+  expect(disk.damage((path) => path === "d/slot-a")).toEqual(["d/slot-a"]); // generation 2
+  expect(await inWorld(world, disk, records)).toEqual({ state: { upTo: 1 }, records: [2, 3] });
+});
+test("damage in the middle of a log is a refusal that names the file", async () => {
+  const world = new SimWorld(3);
+  const disk = new SimDisk(world);
+  await inWorld(world, disk, function* (slots) {
+    yield* slots.open();
+    yield* slots.append([{ first: true }]);
+    yield* slots.append([{ second: true }]);
+  });
+  disk.damage((path) => path === "d/log-0");
+  expect(await inWorld(world, disk, records)).toMatch("d/log-0 is damaged at byte 0");
+});
+test("power lost at any write leaves every acknowledged record, and a torn tail is cut: 200 seeds", async () => {
+  let undone = 0;
+  for (let seed = 1; seed <= 200; seed += 1) {
+    const world = new SimWorld(seed);
+    const disk = new SimDisk(world);
+    const acknowledged: number[] = [];
+    const process = world.start("p", disk);
+    Csp.go(process.scope, "writer", function* () {
+      const slots = new TwoSlots(process.env, "d");
+      yield* slots.open();
+      for (let n = 1; n < 200; n += 1) {
+        if ((yield* slots.append([n])).ok) acknowledged.push(n);
+        if (n % 7 === 0) yield* slots.rotate({ upTo: n });
+      }
+    });
+    await world.run(5 + world.random() * 120);
+    world.kill("p");
+    const read = (await inWorld(world, disk, records)) as { state?: { upTo: number }; records: number[] };
+    const last = read.records.length > 0 ? read.records[read.records.length - 1] : read.state?.upTo ?? 0;
+    const from = read.state?.upTo ?? 0;
+    expect(read.records).toEqual(Array.from({ length: last - from }, (_each, at) => from + at + 1));
+    expect(last).toBeGreaterThanOrEqual(acknowledged[acknowledged.length - 1] ?? 0);
+    expect(last).toBeLessThanOrEqual((acknowledged[acknowledged.length - 1] ?? 0) + 1);
+    if (last === acknowledged[acknowledged.length - 1]) undone += 1;
+  }
+  expect(undone).toBeGreaterThan(20);
+}, 60_000);
--- /dev/null
+++ b/test/sim3.test.ts
@@ -0,0 +1,3 @@
+import { SimSuite } from "./simSuite";
+
+SimSuite.part(3, 6);
--- /dev/null
+++ b/test/surface.test.ts
@@ -0,0 +1,146 @@
+import { spawnSync } from "child_process";
+import * as fs from "fs";
+import * as os from "os";
+import * as path from "path";
+import { Settings } from "../src/core/settings";
+import { Slab } from "../src/ingress/slab";
+import { SimFleet } from "../src/sim/simFleet";
+import { Deployment } from "../src/tools/deployment";
+import { Wire } from "../src/wire/wire";
+
+const deployment = (name: string): Deployment => {
+  const read = Deployment.check(JSON.parse(fs.readFileSync(path.join(__dirname, `../../deploy/${name}.json`), "utf8")));
+  if (!read.ok) throw new Error(JSON.stringify(read.fault));
+  return read.value;
+};
+
+test("every deployment kept here is well", () => {
+  for (const name of ["small", "sim", "kiln-commons", "karri-gridsense"]) expect(deployment(name).cluster).toBe(name);
+});
+test("unknown and mistyped settings name the key and what was expected", () => {
+  const wrong = Settings.check({ program: "store", cluster: "c", district: "d", address: "here", http: "127.0.0.1:2", seeds: [], colour: 1 });
+  expect(wrong.ok === false && wrong.fault.tag === "invalid" && wrong.fault.paths).toEqual(expect.arrayContaining([
+    expect.stringMatching(/^colour: unknown key/), expect.stringMatching(/^address: /), expect.stringMatching(/^seeds: /), expect.stringMatching(/^data: missing/),
+  ]));
+});
+test("a process with wrong settings or flags does not start: exit 2 and the key; a folder of another node is refused", () => {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), "petrelbeam-cli-"));
+  const run = (...words: string[]): { status: number | null; err: string } => {
+    const done = spawnSync(process.execPath, [path.join(__dirname, "../src/main.js"), ...words], { encoding: "utf8", timeout: 60_000 });
+    return { status: done.status, err: done.stderr };
+  };
+  const file = path.join(folder, "store.json");
+  fs.writeFileSync(file, JSON.stringify({ program: "store", cluster: "c", district: "d", address: "127.0.0.1:1", http: "127.0.0.1:2", seeds: ["127.0.0.1:1"], data: folder, sead: 3 }));
+  expect(run("store", "--settings", file)).toMatchObject({ status: 2, err: expect.stringContaining("sead: unknown key") });
+  expect(run("check", file).status).toBe(2);
+  expect(run("store", "--colour", "red")).toMatchObject({ status: 2, err: expect.stringContaining("--colour") });
+  expect(run("sim", path.join(__dirname, "../../deploy/sim.json"), "--scenario", "nonesuch")).toMatchObject({ status: 2, err: expect.stringContaining("freeze-store") });
+  expect(run("sim", path.join(__dirname, "../../deploy/sim.json"), "--scenario", "kill-at-point", "--point", "99")).toMatchObject({ status: 2, err: expect.stringContaining("41 ") });
+  const data = path.join(folder, "data");
+  fs.mkdirSync(data);
+  fs.writeFileSync(path.join(data, "identity"), JSON.stringify({ id: "x", cluster: "another", program: "store" }));
+  expect(run("store", "--cluster", "c", "--district", "d", "--address", "127.0.0.1:1", "--http", "127.0.0.1:2", "--seeds", "127.0.0.1:1", "--data", data)).toMatchObject({ status: 2, err: expect.stringContaining("another") });
+  fs.rmSync(folder, { recursive: true, force: true });
+}, 60_000);
+test("a reply that comes late finds another generation in its slot and reaches nobody", () => {
+  const slab = new Slab<string>(1);
+  const got: string[] = [];
+  const first = slab.open((outcome) => got.push(`first ${outcome}`))!;
+  expect(slab.open(() => undefined)).toBeUndefined();
+  slab.drop(first);
+  const second = slab.open((outcome) => got.push(`second ${outcome}`))!;
+  expect(slab.resume(first, "late")).toBe(false);
+  expect(slab.resume(second, "mine")).toBe(true);
+  expect(slab.resume(second, "again")).toBe(false);
+  expect(got).toEqual(["second mine"]);
+  expect(slab.late).toBe(2);
+});
+test("malformed and foreign messages are not decoded", () => {
+  const good = Wire.encode({ kind: "ask", correlation: 7, cluster: "a", verb: "v", sender: "s", body: { x: [1] } });
+  expect(Wire.decode(good, "a")).toMatchObject({ correlation: 7, verb: "v", body: { x: [1] } });
+  expect(Wire.decode(good, "b")).toBeUndefined();
+  for (let at = 0; at < good.length; at += 1) expect(Wire.decode(good.subarray(0, at), "a")).toBeUndefined();
+  expect(Wire.decode(Buffer.from("GET / HTTP/1.1\r\n\r\n"), "a")).toBeUndefined();
+});
+
+test("the HTTP surface: good paths, and bad input that changes nothing", async () => {
+  const fleet = new SimFleet(deployment("small"), 11);
+  await fleet.boot();
+  const ingress = fleet.plan.ingressHttp[0];
+  const ask = async (method: string, path_: string, body?: unknown, headers: Record<string, string> = {}, address = ingress): Promise<{ status: number; body: any }> => {
+    const said = await fleet.operate(method, path_, body, headers, address);
+    if (!said) throw new Error(`no answer to ${method} ${path_}`);
+    return said;
+  };
+  const version = (await ask("GET", "/v1/manifest")).body.version;
+  // operators' bad input
+  expect((await ask("PUT", "/v1/manifest", { bindings: {} })).status).toBe(428);
+  const wrong = await ask("PUT", "/v1/manifest", { bindings: { a: { kind: "lookup", pool: 3, path: "x" }, b: { kind: "magic", pool: "p", path: "/" } }, extra: 1 }, { "if-match": `"${version}"` });
+  expect(wrong.status).toBe(400);
+  expect(wrong.body.paths).toEqual(expect.arrayContaining([expect.stringMatching(/^\/bindings\/a\/pool/), expect.stringMatching(/^\/bindings\/a\/path/), expect.stringMatching(/^\/bindings\/b\/kind/), expect.stringMatching(/extra/)]));
+  expect((await ask("PUT", "/v1/policies", [{ match: {} }], { "if-match": '"1"' })).status).toBe(400);
+  expect((await ask("PUT", "/v1/calendar/m", { due: "someday", move: { kind: "drain", district: "north" } }, { "if-match": '"0"' })).status).toBe(400);
+  expect((await ask("PUT", "/v1/calendar/m", { due: "now", move: { kind: "drain" } }, { "if-match": '"0"' })).status).toBe(400);
+  expect((await ask("PUT", "/v1/manifest", fleet.deployment.manifest, { "if-match": '"0"', "x-change-id": "stale" })).status).toBe(412);
+  expect((await ask("GET", "/v1/manifest")).body.version).toBe(version);
+  // a change is asked after by its id, and a repeat of it is the same change
+  const doc = { ...fleet.deployment.manifest };
+  const first = await ask("PUT", "/v1/manifest", doc, { "if-match": `"${version}"`, "x-change-id": "once" });
+  const again = await ask("PUT", "/v1/manifest", doc, { "if-match": `"${version}"`, "x-change-id": "once" });
+  expect([first.status, first.body.version, again.status, again.body.version]).toEqual([200, version + 1, 200, version + 1]);
+  expect((await ask("GET", "/v1/changes/once")).body).toEqual({ tag: "done", version: version + 1 });
+  expect((await ask("GET", "/v1/changes/stale")).body.tag).toBe("conflict");
+  expect((await ask("GET", "/v1/changes/never")).status).toBe(404);
+  // callers' bad input
+  expect((await ask("POST", "/v1/requests/nonesuch", {})).status).toBe(404);
+  expect((await ask("POST", "/v1/requests/status", [1])).status).toBe(400);
+  expect((await ask("POST", "/v1/requests/status", { q: "x".repeat(1_100_000) })).status).toBe(413);
+  expect((await ask("PATCH", "/v1/lots", {})).status).toBe(405);
+  expect((await ask("GET", "/v1/nothing")).status).toBe(404);
+  expect((await ask("GET", "/v1/lots/none")).status).toBe(404);
+  expect((await ask("GET", "/v1/lots/none/results")).status).toBe(404);
+  expect((await ask("POST", "/v1/lots/none/end", {})).status).toBe(404);
+  expect((await ask("POST", "/v1/lots", { binding: "confirm", items: [] })).status).toBe(400);
+  expect((await ask("POST", "/v1/lots", { binding: "ask", items: [1] })).status).toBe(400);
+  expect((await ask("GET", "/v1/streams/none")).status).toBe(404);
+  expect((await ask("GET", "/v1/streams/none", undefined, { "last-event-id": "x" })).status).toBe(400);
+  expect((await ask("PUT", "/v1/replicas/r", { address: "nowhere", pool: "p", district: "d", capacity: 0 })).status).toBe(400);
+  // keys
+  const key = { "idempotency-key": "k1" };
+  const one = await ask("POST", "/v1/requests/confirm", { q: 1 }, key);
+  const two = await ask("POST", "/v1/requests/confirm", { q: 1 }, key, fleet.plan.ingressHttp[1]);
+  expect([one.status, two.status, two.body]).toEqual([200, 200, one.body]);
+  expect((await ask("POST", "/v1/requests/confirm", { q: 2 }, key)).status).toBe(422);
+  // a lot, its results by cursor, the same in both modes, and why
+  expect((await ask("POST", "/v1/lots", { id: "L1", binding: "confirm", items: [1, 2, 3] })).status).toBe(202);
+  expect((await ask("POST", "/v1/lots", { id: "L1", binding: "confirm", items: [1, 2, 3] })).status).toBe(200);
+  expect((await ask("POST", "/v1/lots", { id: "L1", binding: "confirm", items: [1, 2, 4] })).status).toBe(422);
+  await fleet.run(3000);
+  const all = await ask("GET", "/v1/lots/L1/results");
+  expect(all.body.results.map((result: { position: number }) => result.position)).toEqual([1, 2, 3]);
+  expect(all.body.finished).toBe(true);
+  const rest = await ask("GET", `/v1/lots/L1/results?after=2`, undefined, {}, fleet.plan.ingressHttp[1]);
+  expect(rest.body.results).toEqual(all.body.results.slice(2));
+  const why = await ask("GET", "/v1/why/L1");
+  expect(why.body.entries.map((entry: { decision: string }) => entry.decision)).toEqual(expect.arrayContaining(["accepted with 3 items for confirm", "result marked done"]));
+  expect(why.body.because.some((entry: { subject: string }) => entry.subject === "manifest")).toBe(true);
+  expect((await ask("GET", "/v1/why/nothing-at-all")).status).toBe(404);
+  const accepted = +why.body.entries[0].stamp.split("~")[0];
+  expect((await ask("GET", `/v1/at/lot%20L1?time=${accepted}`)).body.version.decision).toBe("accepted with 3 items for confirm");
+  const beyond = await ask("GET", `/v1/at/lot%20L1?time=${accepted + 60_000}&waitMs=100`);
+  expect([beyond.status, beyond.body.code]).toEqual([503, "busy"]);
+  // a foreign datagram and a foreign frame are dropped, and nothing falls
+  const stranger = fleet.world.start("stranger", fleet.disks.get("store-1")!);
+  const to = fleet.plan.processes[0].settings.address;
+  await fleet.world.finish(stranger, function* () {
+    const socket = yield* stranger.env.datagrams("127.0.0.1:9");
+    if (socket.ok) for (const junk of ["", "junk", "\u0000\u0001"]) socket.value.send(to, Buffer.from(junk));
+    const link = yield* stranger.env.connect(to, 500);
+    if (link.ok) link.value.send(Buffer.from("junk"));
+    return true;
+  }, 2000);
+  await fleet.run(1000);
+  expect((await ask("GET", "/livez", undefined, {}, fleet.plan.processes[0].settings.http)).status).toBe(200);
+  fleet.notes.length = 0;
+  expect(await fleet.close()).toEqual([]);
+}, 120_000);
