An ingress does not trust an agent that knows less than itself

The feed now tells the agent's frame index, and an agent that has compared digests with nobody is out of touch.

--- a/src/agent/agentNode.ts
+++ b/src/agent/agentNode.ts
@@ -50,7 +50,7 @@
     const until = this.env.mono() + Constants.feedWaitMs;
     while (this.node.frame().number === body.seen && this.env.mono() < until) yield* EnvTools.sleep(this.env, Constants.feedTickMs);
     const frame = this.node.frame();
-    return Fault.ok({ ...frame, control: frame.control?.index === body.controlIndex ? undefined : frame.control, stopping: this.node.stopping });
+    return Fault.ok({ ...frame, controlIndex: frame.control?.index ?? 0, control: frame.control?.index === body.controlIndex ? undefined : frame.control, stopping: this.node.stopping });
   }
   /** SIGTERM. @example yield* agent.stop(); */
   *stop(): Task<void> {
--- a/src/core/node.ts
+++ b/src/core/node.ts
@@ -136,7 +136,7 @@
   }
   /** Whether we heard from others lately, and were not frozen since. @example node.inTouch() */
   inTouch(): boolean {
-    return this.fresh && (this.env.mono() - this.news.comparedAt < Constants.frameStaleMs || this.membership.all().length === 1);
+    return this.fresh && this.env.mono() - this.news.comparedAt < Constants.frameStaleMs;
   }
   /** Whether we may stamp and hold duties. @example if (!node.vouches()) return busy; */
   vouches(): boolean {
--- a/src/ingress/ingressNode.ts
+++ b/src/ingress/ingressNode.ts
@@ -105,12 +105,13 @@
         yield* EnvTools.sleep(this.env, 100);
         continue;
       }
-      const { control, ...rest } = fed.value;
+      const { control, controlIndex, ...rest } = fed.value;
       const kept = this.current.control;
       // the control part only ever grows
       const newest = control && (!kept || control.index > kept.index) ? control : kept;
       if (newest !== kept) this.env.log(1601, { index: newest.index, manifest: newest.manifest.version });
-      this.current = { ...rest, control: newest };
+      // an agent that was started again may know less than we do: its word counts once it has caught up
+      this.current = { ...rest, control: newest, fresh: rest.fresh && controlIndex >= (newest?.index ?? 0) };
       this.fedAt = askedAt;
     }
   }
--- a/src/membership/news.ts
+++ b/src/membership/news.ts
@@ -29,16 +29,14 @@
   private watchers: (() => void)[] = [];
   frame: ControlFrame | undefined;
   /** When digests were last compared with anybody, by either side. */
-  comparedAt: number;
+  comparedAt = -Infinity;
   frameAt = 0;
 
   constructor(
     private readonly env: Env,
     private readonly rpc: Rpc,
     private readonly membership: Membership,
-  ) {
-    this.comparedAt = env.mono();
-  }
+  ) {}
 
   /** @example news.start(); */
   start(): void {
--- a/test/simSuite.ts
+++ b/test/simSuite.ts
@@ -9,6 +9,7 @@
 const regressions: Case[] = [
   { scenario: "freeze-edge", seed: 1, point: 0 },
   { scenario: "slow-puts", seed: 2, point: 0 },
+  { scenario: "kill-at-point", seed: 3, point: 21 },
 ];
 const cases: Case[] = [
   ...Scenarios.all.flatMap((scenario): Case[] =>
