Busy is said in time; a replica that just started gets work at a bounded rate

Asks that found a connection being made waited for it in turn, 0.5 s each, and an ask whose shard could not be reached was held to its deadline. The outcome of one connect is now shared, and with nothing sent busy is said after 1.5 s. Capacity is now scaled by the ramp and starts are spaced over all choosers.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -93,10 +93,12 @@
   frameStaleMs: 1500, // ms; without word from the others (an ingress: from its agent) new work is held; under the two seconds in which a configuration must be in force
   readWaitMs: 2500, // ms; a read past the frontier waits at most this long
   storeRoundMs: 300, // ms; between rounds while a shard's lead is being found
+  openPatienceMs: 1500, // ms; a shard's lead that cannot be reached is looked for this long, then busy is said
   slabSlots: 4096, // continuations; requests at once in one process
 
   // --- work ---
   slowStartMs: 6000, // ms; a new replica comes up to its full share over this time
+  slowStartPerSecond: 4, // starts a second for each slot, times the share, from all choosers together
   slowStartFloor: 0.15, // share; what a replica gets at the start
   boundedLoad: 1.25, // factor; prefix affinity gives way above this multiple of mean load
   ejectFailures: 3, // failures in a row; then the replica is left alone
--- a/src/core/chooser.ts
+++ b/src/core/chooser.ts
@@ -4,7 +4,7 @@
 import { Frame, Replica } from "./frame";
 import { Hash } from "./hash";
 
-type Liveness = { failures: number; ejectedUntil: number; inFlight: number; startedSince: number; seen: Replica | undefined };
+type Liveness = { failures: number; ejectedUntil: number; inFlight: number; startedSince: number; lastStartAt: number; seen: Replica | undefined };
 export type Wish = { frame: Frame; pool: string; binding: string; caller: string; kind: string; prefix: string; lane: "live" | "lot"; exclude: Set<string> };
 
 /**
@@ -26,7 +26,7 @@
   private of(replica: Replica): Liveness {
     let known = this.livenesses.get(replica.key);
     if (!known) {
-      known = { failures: 0, ejectedUntil: 0, inFlight: 0, startedSince: 0, seen: undefined };
+      known = { failures: 0, ejectedUntil: 0, inFlight: 0, startedSince: 0, lastStartAt: -Infinity, seen: undefined };
       this.livenesses.set(replica.key, known);
     }
     if (known.seen !== replica && known.seen?.active !== replica.active) known.startedSince = 0;
@@ -83,12 +83,16 @@
       for (const [key, liveness] of this.livenesses) if (!known.has(key) && liveness.inFlight === 0) this.livenesses.delete(key);
       this.sweptAt = now;
     }
+    const choosers = Math.max(1, wish.frame.members.filter((member) => member.program !== "control").length);
     const share = wish.lane === "lot" ? 1 - Constants.reservedShare : 1;
     const room = this.eligible(wish).filter((replica) => {
       if (wish.exclude.has(replica.key)) return false;
       const known = this.of(replica);
       if (known.ejectedUntil > now) return false;
-      return this.load(replica) < Math.max(1, Math.floor(replica.capacity * share * (wish.lane === "lot" ? this.ramp(replica) : 1)));
+      const ramp = this.ramp(replica);
+      // a replica that has just started gets work at a rate that all choosers together keep small
+      if (ramp < 1 && now - known.lastStartAt < (1000 * choosers) / (replica.capacity * ramp * Constants.slowStartPerSecond)) return false;
+      return this.load(replica) < Math.max(1, Math.floor(replica.capacity * share * ramp));
     });
     if (room.length === 0) return undefined;
     if (wish.prefix === "") return this.better(room);
@@ -119,6 +123,7 @@
     const known = this.of(replica);
     known.inFlight += 1;
     known.startedSince += 1;
+    known.lastStartAt = this.env.mono();
   }
   /** How a round ended; failures in a row eject. @example chooser.end(replica, true); */
   end(replica: Replica, lively: boolean): void {
--- a/src/ingress/ingressNode.ts
+++ b/src/ingress/ingressNode.ts
@@ -264,7 +264,7 @@
       const arrival = first ? stamp : this.putter.stamp(this.env.wall());
       first = false;
       return { stamp: arrival, work: { ...work, life: Stamp.text(arrival) }, caller: accepted.caller, cause: accepted.cause };
-    }, accepted.deadlineMs, 2000);
+    }, accepted.deadlineMs, 2000, Constants.openPatienceMs);
     if (opened.ok || opened.fault.tag === "busy") return opened;
     if (opened.fault.tag === "unknown") {
       // it may be running: make sure that it never will, or say plainly that we don't know
--- a/src/store/putter.ts
+++ b/src/store/putter.ts
@@ -36,12 +36,15 @@
     return frame.members.find((member) => member.id === lead)?.address;
   }
   /** Asks the lead of a shard until it answers; only faults that a new lead or a new stamp may cure are tried again. @example yield* putter.askLead(3, "work.read", () => body, 5000) */
-  *askLead<R = any>(shard: number, verb: string, body: () => Record<string, unknown>, withinMs: number, roundMs = 1200): Task<Result<R>> {
-    const until = this.env.mono() + withinMs;
+  *askLead<R = any>(shard: number, verb: string, body: () => Record<string, unknown>, withinMs: number, roundMs = 1200, unsentMs = withinMs): Task<Result<R>> {
+    const startedAt = this.env.mono();
+    const until = startedAt + withinMs;
     let last: Result<R> = Fault.fail("timeout", verb, `shard ${shard}`, "no lead known");
     let maybeSent = false;
     for (let round = 0; ; round += 1) {
       const left = until - this.env.mono();
+      // as long as nothing can have arrived, there is no reason to hold the caller
+      if (!maybeSent && round > 0 && this.env.mono() - startedAt > unsentMs) return last;
       if (left <= 0) return maybeSent && !last.ok ? Fault.fail("unknown", verb, last.fault.member, last.fault.detail) : last;
       const address = this.leadAddress(shard);
       if (address) {
--- a/src/tools/callers.ts
+++ b/src/tools/callers.ts
@@ -120,7 +120,7 @@
     const at = this.env.wall();
     const requestId = String(reply?.body?.requestId ?? "");
     if (reply?.status === 503) this.history.add({ tag: "busy", at, tookMs: this.env.mono() - startedAt, kind, requestId, retryAfter: reply.headers["retry-after"] !== undefined });
-    else this.history.add({ tag: "failed", at, kind, requestId, code: String(reply?.body?.code ?? "connection"), detail: String(reply?.body?.detail ?? "") });
+    else this.history.add({ tag: "failed", at, tookMs: this.env.mono() - startedAt, kind, requestId, code: String(reply?.body?.code ?? "connection"), detail: String(reply?.body?.detail ?? "") });
   }
 
   private *lookup(n: number): Task<void> {
@@ -185,7 +185,7 @@
     }
     const at = this.env.wall();
     if (!ended) {
-      this.history.add({ tag: "failed", at, kind: `stream ${kind.binding}`, requestId: id, code: String(failed?.code ?? "noEnd"), detail: String(failed?.detail ?? "") });
+      this.history.add({ tag: "failed", at, tookMs: this.env.mono() - startedAt, kind: `stream ${kind.binding}`, requestId: id, code: String(failed?.code ?? "noEnd"), detail: String(failed?.detail ?? "") });
       return;
     }
     this.history.add({ tag: "streamEnd", stream: n, at, tookMs: this.env.mono() - startedAt, firstMs, pieces: after, wanted: kind.pieces, resumes, binding: kind.binding });
@@ -208,7 +208,7 @@
       // busy or no answer: the same key may be asked again
       yield* EnvTools.sleep(this.env, 1000);
     }
-    this.history.add({ tag: "failed", at: this.env.wall(), kind: "single", requestId: "", code: "noAnswer", detail: key });
+    this.history.add({ tag: "failed", at: this.env.wall(), tookMs: this.env.mono() - startedAt, kind: "single", requestId: "", code: "noAnswer", detail: key });
   }
 
   private *lot(n: number): Task<void> {
@@ -228,7 +228,7 @@
     }
     if (!accepted) return;
     const acceptedAt = this.env.wall();
-    this.history.add({ tag: "lotAccepted", at: acceptedAt, lot, items, binding });
+    this.history.add({ tag: "lotAccepted", at: acceptedAt, tookMs: this.env.mono() - startedAt, lot, items, binding });
     this.history.add({ tag: "served", at: acceptedAt, kind: "lot" });
     this.acceptedLots.set(lot, { items, binding });
     if (n % endOneIn === 0) {
--- a/src/tools/checker.ts
+++ b/src/tools/checker.ts
@@ -9,6 +9,7 @@
   readableMs: 1000, readableSlackMs: 500,
   endedMs: 3000, goodbyeMs: 2000, drainMs: 5000, inForceMs: 2000, slackMs: 200,
   recoveryMs: 12_000,
+  restoredMs: 4000, // a process that comes back, or a cut that heals, may itself move shards
   quietGapMs: { lookup: 2500, stream: 3000, lot: 5000 },
   firstSecondShare: 1, // a replica just started gets no more than its capacity within its first second
 } as const;
@@ -126,7 +127,7 @@
       const gone = new Map(history.of("goodbye").map((seen) => [seen.replica, seen.at]));
       const back = new Map(history.of("replicaStarted").map((seen) => [seen.replica, seen.at]));
       return allRuns(replicas)
-        .filter((run) => run.at > (gone.get(run.replica) ?? Infinity) + bounds.goodbyeMs + bounds.slackMs && !((back.get(run.replica) ?? -1) > gone.get(run.replica)!))
+        .filter((run) => run.at > (gone.get(run.replica) ?? Infinity) + bounds.goodbyeMs + bounds.slackMs && !((back.get(run.replica) ?? -1) > gone.get(run.replica)! && run.at >= back.get(run.replica)!))
         .map((run) => `replica ${run.replica} got ${run.id} ${(run.at - gone.get(run.replica)!).toFixed(0)} ms after its goodbye`);
     },
   },
@@ -208,6 +209,14 @@
     name: "service-returns", sentence: "After a heavy fault, service returns within about twelve seconds",
     check: (history) => {
       const found: string[] = [];
+      const faults = history.of("fault");
+      const begin = Math.min(Infinity, ...faults.map((seen) => seen.at));
+      // what is asked twelve seconds after the last fault, or later, is served wherever its shard is
+      const settled = Math.max(-Infinity, ...faults.map((seen) => seen.at + bounds.recoveryMs), ...history.of("restored").map((seen) => seen.at + bounds.restoredMs));
+      for (const seen of history.of("failed"))
+        if (faults.length > 0 && seen.at - seen.tookMs > settled) found.push(`${seen.kind} ${seen.requestId} still failed (${seen.code}: ${seen.detail}) ${(seen.at - settled).toFixed(0)} ms after service should have returned`);
+      for (const seen of history.of("lotAccepted"))
+        if (seen.at - seen.tookMs >= begin && seen.tookMs > bounds.recoveryMs + 1500) found.push(`lot ${seen.lot} was accepted only after ${seen.tookMs.toFixed(0)} ms`);
       const end = history.of("dayEnd")[0]?.at ?? Math.max(0, ...history.of("served").map((seen) => seen.at));
       for (const fault of history.of("fault").filter((seen) => seen.heavy))
         for (const kind of ["lookup", "stream", "lot"] as const) {
--- a/src/tools/history.ts
+++ b/src/tools/history.ts
@@ -2,11 +2,11 @@
 export type Seen =
   | { tag: "lookup"; at: number; tookMs: number; status: number; mine: boolean; ingress: string }
   | { tag: "busy"; at: number; tookMs: number; kind: string; requestId: string; retryAfter: boolean }
-  | { tag: "failed"; at: number; kind: string; requestId: string; code: string; detail: string }
+  | { tag: "failed"; at: number; tookMs: number; kind: string; requestId: string; code: string; detail: string }
   | { tag: "streamPiece"; stream: number; n: number; right: boolean }
   | { tag: "streamEnd"; stream: number; at: number; tookMs: number; firstMs: number; pieces: number; wanted: number; resumes: number; binding: string }
   | { tag: "single"; at: number; key: string; requestId: string; status: number; mine: boolean; tookMs: number; ran: string }
-  | { tag: "lotAccepted"; at: number; lot: string; items: number; binding: string }
+  | { tag: "lotAccepted"; at: number; tookMs: number; lot: string; items: number; binding: string }
   | { tag: "lotResult"; lot: string; position: number; item: number; state: string; at: number; ingress: string; mine: boolean }
   | { tag: "lotFinished"; lot: string; at: number; tookMs: number; ended: boolean; results: number }
   | { tag: "lotLost"; lot: string; at: number; detail: string }
@@ -20,6 +20,7 @@
   | { tag: "inForce"; at: number; node: string; version: number; mark: string }
   | { tag: "dayEnd"; at: number; version: number; mark: string }
   | { tag: "fault"; at: number; fault: string; heavy: boolean }
+  | { tag: "restored"; at: number; what: string }
   | { tag: "served"; at: number; kind: "lookup" | "stream" | "lot" }
   | { tag: "replicaStarted"; at: number; replica: string; capacity: number }
   | { tag: "ledger"; at: number; ingress: string; stamps: string[] }
--- a/src/tools/standIns.ts
+++ b/src/tools/standIns.ts
@@ -67,10 +67,6 @@
   private *serve(incoming: HttpIn): Task<void> {
     const read = yield* incoming.body(4_000_000);
     if (!read.ok) return;
-    if (this.mood === "dark") {
-      yield* Csp.take(incoming.gone);
-      return;
-    }
     if (this.mood === "full" || this.active >= this.settings.capacity) {
       incoming.send(503, { "x-accepted": "no", "content-type": "application/json" }, JSON.stringify({ accepted: false }));
       return;
@@ -79,6 +75,11 @@
     const id = incoming.headers["x-request-id"] ?? "";
     const stream = (incoming.headers["accept"] ?? "").includes("ndjson");
     this.runs.push({ id, round: +(incoming.headers["x-round"] ?? 0), at: this.env.wall(), kind: stream ? "stream" : "single", continued: body.continueFrom?.length ?? 0 });
+    if (this.mood === "dark") {
+      // it may well have run: nobody will hear
+      yield* Csp.take(incoming.gone);
+      return;
+    }
     this.active += 1;
     try {
       if (this.mood === "nonsense") {
--- a/src/wire/rpc.ts
+++ b/src/wire/rpc.ts
@@ -7,6 +7,7 @@
 /* eslint-disable @typescript-eslint/no-explicit-any */
 export type Handler = (body: any, sender: string) => Task<Result<unknown>>;
 type Waiting = { reply: Chan<Result<unknown>>; step: string };
+type Connecting = { done: Chan<true>; failed: { ok: false; fault: Fault } | undefined };
 type Connection = { link: Link; waiting: Map<number, Waiting>; lastHeard: number };
 
 /**
@@ -21,7 +22,7 @@
 export class Rpc {
   private readonly handlers = new Map<string, Handler>();
   private readonly connections = new Map<string, Connection>();
-  private readonly connecting = new Map<string, Chan<true>>();
+  private readonly connecting = new Map<string, Connecting>();
   private correlation = 0;
   dropped = 0;
   asked = 0;
@@ -84,21 +85,29 @@
   }
 
   private *connection(address: string): Task<Result<Connection>> {
-    for (;;) {
-      const known = this.connections.get(address);
-      if (known) return Fault.ok(known);
-      const busy = this.connecting.get(address);
-      if (!busy) break;
-      yield* Csp.take(busy);
+    const known = this.connections.get(address);
+    if (known) return Fault.ok(known);
+    // whoever comes while a connection is being made shares its outcome: in turn they would wait for ever
+    const underWay = this.connecting.get(address);
+    if (underWay) {
+      yield* Csp.take(underWay.done);
+      const made = this.connections.get(address);
+      if (made) return Fault.ok(made);
+      return underWay.failed ?? Fault.fail("refused", "connect", address, "connection ended as it was made");
     }
-    const done = Csp.chan<true>(1);
-    this.connecting.set(address, done);
+    const attempt: Connecting = { done: Csp.chan<true>(1), failed: undefined };
+    this.connecting.set(address, attempt);
     const linked = yield* this.env.connect(address, Constants.connectTimeoutMs / 2);
-    this.connecting.delete(address);
-    done.close();
-    if (!linked.ok) return linked;
+    if (!linked.ok) {
+      attempt.failed = linked;
+      this.connecting.delete(address);
+      attempt.done.close();
+      return linked;
+    }
     const connection: Connection = { link: linked.value, waiting: new Map(), lastHeard: this.env.mono() };
     this.connections.set(address, connection);
+    this.connecting.delete(address);
+    attempt.done.close();
     const rpc = this;
     Csp.go(this.env.scope, `link to ${address}`, function* () {
       for (;;) {
