--- a/src/cli/fleetCommand.ts
+++ b/src/cli/fleetCommand.ts
@@ -11,6 +11,7 @@
 import { Checker } from "../tools/checker";
 import { History } from "../tools/history";
 import { Report } from "../tools/report";
+import { FleetTroubles } from "./fleetTroubles";
 import { StandInReplica } from "../tools/standIns";
 
 const say = (text: string): void => void process.stdout.write(`${text}\n`);
@@ -79,6 +80,10 @@
     while (child && child.exitCode === null && child.signalCode === null && this.env.mono() < until) yield* EnvTools.sleep(this.env, 20);
     return !child || child.exitCode !== null || child.signalCode !== null;
   }
+  /** @example yield* fleet.json("127.0.0.1:7002", "GET", "/v1/members") */
+  json(address: string, method: string, path_: string): Task<{ status: number; body: any } | undefined> {
+    return Fleet.json(this.env, address, method, path_);
+  }
   /** @example fleet.stopAll(); */
   stopAll(): void {
     for (const child of this.children.values()) if (child.exitCode === null) child.kill("SIGKILL");
@@ -174,11 +179,19 @@
       .option("--folder", "Folder for data, settings and logs", "run")
       .option("--seconds", "Send the deployment's mix for so long, check, report and stop", 0)
       .option("--load", "Multiple of the mix's rate", 1)
+      .option("--trouble", `Troubles to bring about one by one, with commas, or all: ${Object.keys(FleetTroubles.all).join(", ")}`)
       .example("fleet deploy/kiln-commons.json --seconds 30")
+      .example("fleet deploy/kiln-commons.json --trouble kill-store,freeze-control")
       .action((file: string, options: any) => {
         const deployment = load(file);
         const env = toolEnv("fleet");
         const folder = path.resolve(String(options.folder), deployment.cluster);
+        const named = options.trouble === undefined ? [] : String(options.trouble) === "all" ? Object.keys(FleetTroubles.all) : String(options.trouble).split(",");
+        const strange = named.filter((name) => !FleetTroubles.all[name]);
+        if (strange.length > 0) {
+          process.stderr.write(`no trouble ${strange.join(", ")}; known:\n${Object.entries(FleetTroubles.all).map(([name, trouble]) => `  ${name}: ${trouble.about}`).join("\n")}\n`);
+          process.exit(2);
+        }
         const fleet = new Fleet(env, Deployment.plan(deployment, Number(options.port), folder), folder);
         runTool(env, function* () {
           fleet.startAll();
@@ -196,8 +209,8 @@
           say(`ingresses: ${fleet.plan.ingressHttp.join(" ")}`);
           say(`operators: ${fleet.plan.controlHttp.join(" ")}`);
           const seconds = Number(options.seconds);
-          if (seconds <= 0) for (;;) yield* EnvTools.sleep(env, 1000);
-          return yield* FleetCommand.drive(env, fleet.plan, deployment, seconds, Number(options.load), fleet.replicas);
+          if (seconds <= 0 && named.length === 0) for (;;) yield* EnvTools.sleep(env, 1000);
+          return yield* FleetCommand.drive(env, fleet.plan, deployment, seconds, Number(options.load), fleet.replicas, { fleet, named });
         }, () => fleet.stopAll());
       });
     program
@@ -217,17 +230,28 @@
       });
   },
   /** Sends the mix, waits for what is under way, rereads the lots everywhere, checks. @example yield* FleetCommand.drive(env, plan, deployment, 20, 1, []) */
-  *drive(env: Env, plan: Plan, deployment: Deployment, seconds: number, load_: number, replicas: StandInReplica[]): Task<number> {
+  *drive(env: Env, plan: Plan, deployment: Deployment, seconds: number, load_: number, replicas: StandInReplica[], troubles?: { fleet: Fleet; named: string[] }): Task<number> {
     const history = new History();
     const callers = new Callers(env, deployment.mix, plan.ingressHttp, history);
     callers.start(load_);
-    yield* EnvTools.sleep(env, seconds * 1000);
+    const startedAt = env.mono();
+    yield* EnvTools.sleep(env, Math.max(seconds, troubles && troubles.named.length > 0 ? 5 : 0) * 1000);
+    for (const name of troubles?.named ?? []) {
+      yield* FleetTroubles.all[name].run(troubles!.fleet, history);
+      yield* EnvTools.sleep(env, 16_000);
+    }
+    const forMs = env.mono() - startedAt;
     callers.stopNew();
     const until = env.mono() + 100_000;
     while (callers.running > 0 && env.mono() < until) yield* EnvTools.sleep(env, 100);
     for (const ingress of plan.ingressHttp) yield* callers.reread(ingress);
-    const violations = Checker.check(history, replicas);
-    say(Report.text(history, seconds * 1000));
+    const violations = Checker.check(history, replicas, { settledAt: env.wall() });
+    say(Report.text(history, forMs));
+    for (const fault of history.of("fault")) {
+      const back = (["lookup", "stream", "lot"] as const).map((kind) => `${kind} ${FleetTroubles.recovery(history, fault.at, kind, kind === "lot" ? 4000 : 1500).toFixed(0)} ms`);
+      const slowest = Math.max(0, ...history.of("lotAccepted").filter((seen) => seen.at > fault.at && seen.at - seen.tookMs < fault.at + 12_000).map((seen) => seen.tookMs));
+      say(`fault ${fault.fault}: served again without a gap after ${back.join(", ")}; slowest lot taken after ${slowest.toFixed(0)} ms`);
+    }
     for (const violation of violations) say(`VIOLATION ${violation.invariant}: ${violation.detail}`);
     say(`violations: ${violations.length}`);
     if (history.of("lookup").length === 0 || history.of("streamEnd").length === 0) {
