--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -2,6 +2,7 @@
 import { DaemonCommand } from "./daemonCommand";
 import { FleetCommand } from "./fleetCommand";
 import { OperatorCommands } from "./operatorCommands";
+import { Query } from "./queryCommand";
 import { SimCommand } from "./simCommand";
 
 /**
@@ -18,6 +19,7 @@
     OperatorCommands.add(program);
     FleetCommand.add(program);
     SimCommand.add(program);
+    Query.add(program);
     const fail = (text: string): never => {
       process.stderr.write(`${text}\n`);
       process.exit(2);
