--- a/src/shard/shardCopy.ts
+++ b/src/shard/shardCopy.ts
@@ -279,10 +279,10 @@
     return Fault.ok(this.applied === body.seq ? { digests: ShardState.digests(this.data) } : {});
   }
   /** Objects of the given ranges, to mend by. @example yield* copy.onMend({ works, lots }) */
-  *onMend(body: { epoch: number; works: Work[]; lots: Lot[] }): Task<Result<any>> {
+  *onMend(body: { epoch: number; seq: number; works: Work[]; lots: Lot[] }): Task<Result<any>> {
     const copy = this;
     return yield* this.locked<Result<any>>(function* () {
-      if (body.epoch < copy.sealed || copy.slots.broken) return Fault.ok({ mended: 0 });
+      if (body.epoch < copy.sealed || copy.slots.broken || copy.applied < body.seq) return Fault.ok({ mended: 0 });
       const mended = ShardState.mend(copy.data, body.works, body.lots);
       if (mended > 0) {
         copy.counts.mended += mended;
@@ -546,21 +546,30 @@
   /** Compares ranges with every other member and mends what differs. @example yield* copy.repair() */
   *repair(): Task<number> {
     let mended = 0;
-    for (const id of this.others()) {
-      const address = this.hooks.addressOf(id);
-      if (!address || !this.holdsGrant() || !this.view) continue;
-      const seq = this.applied;
-      const ours = ShardState.digests(this.data);
-      const theirs = yield* this.rpc.ask(address, "shard.digest", { shard: this.shard, seq }, 1000);
-      if (!theirs.ok || !theirs.value.digests || this.applied !== seq) continue;
-      const differing = new Set(ours.flatMap((digest, range) => (digest === theirs.value.digests[range] ? [] : [range])));
-      if (differing.size === 0) continue;
-      const inRange = (object: { id: string }): boolean => differing.has(ShardState.bucketOf(object.id));
-      const replied = yield* this.rpc.ask(address, "shard.mend", {
-        shard: this.shard, epoch: this.view.epoch, works: Object.values(this.data.works).filter(inRange), lots: Object.values(this.data.lots).filter(inRange),
-      }, 2000);
-      if (replied.ok) mended += replied.value.mended;
-    }
+    for (const id of this.others())
+      // under load both must be caught at the same entry: a few tries
+      for (let round = 0; round < 6; round += 1) {
+        const found = yield* this.compare(id);
+        if (found === undefined) continue;
+        mended += found;
+        break;
+      }
     return mended;
   }
+  private *compare(id: string): Task<number | undefined> {
+    const address = this.hooks.addressOf(id);
+    if (!address || !this.holdsGrant() || !this.view) return 0;
+    const seq = this.applied;
+    const ours = ShardState.digests(this.data);
+    const theirs = yield* this.rpc.ask(address, "shard.digest", { shard: this.shard, seq }, 1000);
+    if (!theirs.ok) return 0;
+    if (!theirs.value.digests || this.applied !== seq) return undefined;
+    const differing = new Set(ours.flatMap((digest, range) => (digest === theirs.value.digests[range] ? [] : [range])));
+    if (differing.size === 0) return 0;
+    const inRange = (object: { id: string }): boolean => differing.has(ShardState.bucketOf(object.id));
+    const replied = yield* this.rpc.ask(address, "shard.mend", {
+      shard: this.shard, epoch: this.view.epoch, seq, works: Object.values(this.data.works).filter(inRange), lots: Object.values(this.data.lots).filter(inRange),
+    }, 2000);
+    return replied.ok ? replied.value.mended : 0;
+  }
 }
