A request whose opening put met a change of view is gone on with, not told unknown

Ruled out: the restarted store (it owned nothing), a lost reply of a replica (no run is seen). The handler now asks for the put's fate under the same put id and goes on.

--- a/src/store/work.ts
+++ b/src/store/work.ts
@@ -142,6 +142,8 @@
         stamp = this.putter.stamp(this.env.wall());
         yield* EnvTools.sleep(this.env, 10);
       }
+      // its fate is not known (the view is just changing): nothing was delivered, so it is found out and gone on with
+      if (!put.ok && put.fault.tag === "unknown") put = yield* this.put(copy.shard, `open-${id}-${body.work.life}`, ops, body.cause, Math.max(1000, body.work.deadlineAt - this.env.wall()));
       this.env.point(51);
       if (!put.ok || put.value.tag !== "done") {
         this.running.delete(id);
