Proxies that cut links among real processes; put and relay times; kept bindings

Acknowledgements of probes now go to the member's told address, since a datagram's source is the proxy. A lot keeps the binding it was accepted with; deliveries that may not be repeated have a connection of their own, so that a kept-alive one closing under them is not told as unknown.

--- a/src/adapters/callerHttp.ts
+++ b/src/adapters/callerHttp.ts
@@ -157,7 +157,7 @@
       if (!stamp.ok) return Http.problem(incoming, stamp.fault);
       const id = checked.value.id ?? EnvTools.id(env, "lot");
       const bodies = checked.value.items.map((item) => JSON.stringify(item));
-      const lot = { id, binding: accepted.value.name, bodyHash: Hash.text(JSON.stringify([accepted.value.name, bodies])), bodies, safe: accepted.value.binding.safe, order: accepted.value.order };
+      const lot = { id, binding: accepted.value.name, bodyHash: Hash.text(JSON.stringify([accepted.value.name, bodies])), bodies, safe: accepted.value.binding.safe, order: accepted.value.order, kept: accepted.value.binding };
       ingress.counts.lots += 1;
       let first = true;
       const done: Result<any> = yield* ingress.putter.askLead(ingress.putter.shardOf(id), "lot.accept", () => {
--- a/src/adapters/replicaHttp.ts
+++ b/src/adapters/replicaHttp.ts
@@ -4,7 +4,7 @@
 import { Fault, Result } from "../core/fault";
 import { Replica } from "../core/frame";
 
-export type Delivery = { path: string; id: string; round: number; body: string; pieces: string[]; deadlineMs: number };
+export type Delivery = { path: string; id: string; round: number; body: string; pieces: string[]; deadlineMs: number; safe: boolean };
 
 /** One opened stream of a replica: pieces one by one. */
 export class ReplicaStream {
@@ -74,7 +74,7 @@
     const body = delivery.pieces.length > 0 ? JSON.stringify({ ...JSON.parse(delivery.body), continueFrom: delivery.pieces }) : delivery.body;
     const replied = yield* env.http(replica.address, {
       method: "POST", path: delivery.path, headers: { ...head(delivery), accept: "application/x-ndjson" }, body,
-      timeoutMs: Math.min(delivery.deadlineMs, Constants.firstPieceMs),
+      timeoutMs: Math.min(delivery.deadlineMs, Constants.firstPieceMs), fresh: !delivery.safe,
     });
     if (!replied.ok) return replied;
     if (replied.value.status === 200) return Fault.ok(new ReplicaStream(env, replica, replied.value));
@@ -84,7 +84,7 @@
   },
   *single(env: Env, replica: Replica, delivery: Delivery): Task<Result<{ status: number; body: string }>> {
     const replied = yield* env.http(replica.address, {
-      method: "POST", path: delivery.path, headers: head(delivery), body: delivery.body, timeoutMs: delivery.deadlineMs,
+      method: "POST", path: delivery.path, headers: head(delivery), body: delivery.body, timeoutMs: delivery.deadlineMs, fresh: !delivery.safe,
     });
     if (!replied.ok) return replied;
     const reply = replied.value;
--- a/src/agent/agentNode.ts
+++ b/src/agent/agentNode.ts
@@ -53,12 +53,7 @@
     return Fault.ok({ ...frame, controlIndex: frame.control?.index ?? 0, control: frame.control?.index === body.controlIndex ? undefined : frame.control, stopping: this.node.stopping });
   }
   /** SIGTERM. @example yield* agent.stop(); */
-  *stop(): Task<void> {
-    this.env.log(1002);
-    this.node.stopping = true;
-    yield* EnvTools.sleep(this.env, 300);
-    this.node.membership.leave();
-    yield* EnvTools.sleep(this.env, 100);
-    this.env.log(1003);
+  stop(): Task<void> {
+    return this.node.depart();
   }
 }
--- a/src/cli/daemonCommand.ts
+++ b/src/cli/daemonCommand.ts
@@ -9,7 +9,7 @@
 
 const flags: [string, string][] = [
   ["cluster", "Name of the cluster"], ["district", "District of this machine"], ["address", "IP:port between the processes (TCP and UDP)"],
-  ["http", "IP:port for callers and operators"], ["seeds", "Three seed addresses, with commas"], ["data", "Data folder (store, control)"],
+  ["bind", "IP:port to listen on, if not that address"], ["http", "IP:port for callers and operators"], ["seeds", "Three seed addresses, with commas"], ["data", "Data folder (store, control)"],
   ["agent", "Address of the agent beside (ingress)"], ["founders", "Addresses of all founders, with commas (control)"], ["log", "debug, info, warn or error"],
 ];
 function read(program: string, options: Record<string, unknown>): Result<Settings> {
--- a/src/cli/fleetCommand.ts
+++ b/src/cli/fleetCommand.ts
@@ -11,6 +11,7 @@
 import { Checker } from "../tools/checker";
 import { History } from "../tools/history";
 import { Report } from "../tools/report";
+import { LinkProxies } from "../tools/linkProxies";
 import { FleetTroubles } from "./fleetTroubles";
 import { StandInReplica } from "../tools/standIns";
 
@@ -42,6 +43,7 @@
 export class Fleet {
   readonly children = new Map<string, ChildProcess>();
   readonly replicas: StandInReplica[] = [];
+  proxies: LinkProxies | undefined;
   constructor(
     readonly env: Env,
     readonly plan: Plan,
@@ -61,6 +63,17 @@
     fs.mkdirSync(this.folder, { recursive: true });
     for (const each of this.plan.processes) this.start(each);
   }
+  /** Proxies at the told addresses, if the plan has any. @example yield* fleet.startProxies(); */
+  *startProxies(): Task<void> {
+    if (this.plan.proxied.length === 0) return;
+    const proxies = (this.proxies = new LinkProxies(this.plan.proxied));
+    const opened = Csp.chan<true>(1);
+    proxies.open().then(() => opened.close(), (error: Error) => {
+      process.stderr.write(`proxies: ${error.message}\n`);
+      opened.close();
+    });
+    yield* Csp.take(opened);
+  }
   /** Stand-in replicas run in this process, so that what they ran can be checked. @example yield* fleet.startReplicas(); */
   *startReplicas(): Task<void> {
     for (const settings of this.plan.replicas) {
@@ -86,6 +99,7 @@
   }
   /** @example fleet.stopAll(); */
   stopAll(): void {
+    this.proxies?.close();
     for (const child of this.children.values()) if (child.exitCode === null) child.kill("SIGKILL");
   }
   /** @example yield* Fleet.json(env, "127.0.0.1:7002", "GET", "/v1/manifest") */
@@ -192,8 +206,9 @@
           process.stderr.write(`no trouble ${strange.join(", ")}; known:\n${Object.entries(FleetTroubles.all).map(([name, trouble]) => `  ${name}: ${trouble.about}`).join("\n")}\n`);
           process.exit(2);
         }
-        const fleet = new Fleet(env, Deployment.plan(deployment, Number(options.port), folder), folder);
+        const fleet = new Fleet(env, Deployment.plan(deployment, Number(options.port), folder, named.some((name) => name.startsWith("cut-"))), folder);
         runTool(env, function* () {
+          yield* fleet.startProxies();
           fleet.startAll();
           yield* fleet.startReplicas();
           const startedAt = env.mono();
--- a/src/cli/fleetTroubles.ts
+++ b/src/cli/fleetTroubles.ts
@@ -2,6 +2,7 @@
 import { Task } from "../csp/csp";
 import { EnvTools } from "../env/env";
 import { History } from "../tools/history";
+import { LinkProxies } from "../tools/linkProxies";
 import type { Fleet } from "./fleetCommand";
 
 type Trouble = { about: string; run: (fleet: Fleet, history: History) => Task<void> };
@@ -48,6 +49,31 @@
   },
 });
 
+const cutOff = (about: string, how: "in" | "out" | "both", who: (fleet: Fleet) => Task<string[]>, forMs: number): Trouble => ({
+  about,
+  *run(fleet, history) {
+    const names = yield* who(fleet);
+    note(fleet, history, `cut ${how} at ${names.join(" and ")}`);
+    for (const name of names)
+      for (const other of [...fleet.plan.proxied.map((each) => each.name).filter((each) => !names.includes(each)), LinkProxies.stranger]) {
+        if (how !== "in") fleet.proxies!.cut(name, other);
+        if (how !== "out") fleet.proxies!.cut(other, name);
+      }
+    yield* EnvTools.sleep(fleet.env, forMs);
+    fleet.proxies!.heal();
+  },
+});
+const theStore = function* (fleet: Fleet): Task<string[]> {
+  return [yield* leading(fleet, "store")];
+};
+const controls = function* (fleet: Fleet): Task<string[]> {
+  return fleet.plan.processes.filter((each) => each.settings.program === "control").map((each) => each.name);
+};
+const halfOfControl = function* (fleet: Fleet): Task<string[]> {
+  const all = yield* controls(fleet);
+  return all.slice(0, Math.ceil(all.length / 2));
+};
+
 /**
  * Troubles brought about among real processes.
  *
@@ -84,6 +110,11 @@
         for (const each of [name, second]) fleet.start(planOf(fleet, each));
       },
     },
+    "cut-store": cutOff("the busiest store is cut off for 9 s", "both", theStore, 9000),
+    "cut-store-in": cutOff("nothing comes in to the busiest store for 9 s", "in", theStore, 9000),
+    "cut-store-out": cutOff("nothing comes out of the busiest store for 9 s", "out", theStore, 9000),
+    "cut-control": cutOff("the whole control group is cut off for 15 s", "both", controls, 15_000),
+    "cut-control-in-two": cutOff("half of the control group is cut off from all others for 9 s", "both", halfOfControl, 9000),
     "stop-store": {
       about: "the busiest store is stopped by SIGTERM and started again",
       *run(fleet, history) {
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -29,7 +29,6 @@
   digestPeriodMs: 500, // ms; digests compared with one member; mends gaps well inside two seconds
   replicaGrantMs: 4000, // ms; a replica not heard of for this long is not chosen
   replicaRenewMs: 1200, // ms; an unchanged announcement is passed on this often
-  factGrantMs: 5000, // ms; soft facts (load, liveness) of nodes
   tombstoneMs: 30_000, // ms; outlives every grant, so a goodbye is never undone by old news
 
   goodbyeHoldMs: 5000, // ms; a replica without instance names may come back this long after its goodbye
@@ -121,6 +120,7 @@
   drainSettleMs: 1500, // ms; a drained district is looked at again
   stopGraceMs: 8000, // ms; after SIGTERM, work in flight may take this long
 
-  // --- logs ---
-  logBufferLines: 1000, // lines; kept in memory for tests and support
+  // --- metrics ---
+  spreadKept: 1000, // values; of one measured time, for its spread
+
 } as const;
--- a/src/control/controlNode.ts
+++ b/src/control/controlNode.ts
@@ -230,12 +230,7 @@
     }
   }
   /** SIGTERM: the lead is left to the others. @example yield* control.stop(); */
-  *stop(): Task<void> {
-    this.env.log(1002);
-    this.node.stopping = true;
-    yield* EnvTools.sleep(this.env, 300);
-    this.node.membership.leave();
-    yield* EnvTools.sleep(this.env, 100);
-    this.env.log(1003);
+  stop(): Task<void> {
+    return this.node.depart();
   }
 }
--- a/src/core/node.ts
+++ b/src/core/node.ts
@@ -76,10 +76,10 @@
       incarnation: Math.floor(env.wall()), state: "alive",
     };
     const rpc = new Rpc(env, settings.cluster, id);
-    const membership = new Membership(env, settings.cluster, self, settings.seeds ?? []);
+    const membership = new Membership(env, settings.cluster, self, settings.seeds ?? [], settings.bind ?? settings.address);
     const news = new News(env, rpc, membership);
     const node = new Node(env, settings, self, rpc, membership, news);
-    const served = yield* rpc.serve(settings.address);
+    const served = yield* rpc.serve(settings.bind ?? settings.address);
     if (!served.ok) return served;
     if (!(yield* membership.start())) return Fault.fail("internal", "bind", settings.address, "datagram socket not to be had");
     news.start();
@@ -96,6 +96,15 @@
     for (const replica of replicas) if ((byId.get(replica.id)?.bornAt ?? -1) < replica.bornAt) byId.set(replica.id, replica);
     return [...byId.values()];
   }
+  /** SIGTERM: unready, a moment for the news of it, goodbye. @example yield* node.depart(); */
+  *depart(): Task<void> {
+    this.env.log(1002);
+    this.stopping = true;
+    yield* EnvTools.sleep(this.env, 300);
+    this.membership.leave();
+    yield* EnvTools.sleep(this.env, 100);
+    this.env.log(1003);
+  }
   /** Called when the process finds that it was frozen. @example node.whenFrozen(() => copy.stopLead("frozen")); */
   whenFrozen(ender: () => void): void {
     this.unfreezers.push(ender);
--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -5,7 +5,8 @@
   program: "ingress" | "agent" | "store" | "control";
   cluster: string;
   district: string;
-  address: string; // TCP and UDP, between the processes
+  address: string; // TCP and UDP, between the processes; what the others are told
+  bind?: string; // where to listen, if not at that address
   http: string; // callers and operators
   seeds?: string[]; // all but ingress, which has its agent
   data?: string; // data folder: store and control
@@ -23,6 +24,7 @@
     cluster: { type: "string", minLength: 1, maxLength: 60 },
     district: { type: "string", minLength: 1, maxLength: 60 },
     address,
+    bind: address,
     http: address,
     seeds: { type: "array", items: address, minItems: 1, maxItems: 5 },
     data: { type: "string", minLength: 1 },
--- a/src/env/env.ts
+++ b/src/env/env.ts
@@ -34,7 +34,7 @@
   broken(): boolean; // read after chunks closed
   abort(): void;
 }
-export type HttpOut = { method: string; path: string; headers?: Record<string, string>; body?: string; timeoutMs: number };
+export type HttpOut = { method: string; path: string; headers?: Record<string, string>; body?: string; timeoutMs: number; fresh?: boolean }; // fresh: a connection of its own, so that "refused" is certain
 export interface Disk {
   read(path: string): Task<Result<Buffer | undefined>>;
   /** Whole file, synced, and its folder synced. */
--- a/src/env/nodeEnv.ts
+++ b/src/env/nodeEnv.ts
@@ -330,7 +330,7 @@
         return yield* wait<Result<HttpReply>>((done) => {
           let sent = false;
           const request = http.request({
-            host, port, agent, method: out.method, path: out.path,
+            host, port, agent: out.fresh ? false : agent, method: out.method, path: out.path,
             headers: { ...out.headers, ...(out.body === undefined ? {} : { "content-type": "application/json", "content-length": Buffer.byteLength(out.body) }) },
           });
           let timedOut = false;
--- a/src/ingress/ingressNode.ts
+++ b/src/ingress/ingressNode.ts
@@ -237,7 +237,7 @@
       if (!this.slab.holds(ticket)) return Fault.fail("broken", "lookup", "caller", "caller went away");
       this.chooser.begin(chosen);
       const roundMs = round < Constants.lookupRounds ? Math.min(left, Math.max(200, accepted.deadlineMs / Constants.lookupRounds)) : left;
-      const replied = yield* ReplicaHttp.single(this.env, chosen, { path: binding.path, id, round, body, pieces: [], deadlineMs: roundMs });
+      const replied = yield* ReplicaHttp.single(this.env, chosen, { path: binding.path, id, round, body, pieces: [], deadlineMs: roundMs, safe: true });
       this.chooser.end(chosen, replied.ok || replied.fault.step === "deliver");
       if (replied.ok) return replied;
       last = replied.fault;
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -17,7 +17,7 @@
  * The probes also sample clocks.
  *
  * @example
- * const membership = new Membership(env, "kiln", self, ["127.0.0.1:7001"]);
+ * const membership = new Membership(env, "kiln", self, ["127.0.0.1:7001"], self.address);
  * yield* membership.start();
  * membership.alive("store");
  */
@@ -40,13 +40,14 @@
     private readonly cluster: string,
     readonly self: Member,
     private readonly seeds: string[],
+    private readonly bind: string,
   ) {
     this.members.set(self.id, { info: self, since: env.mono(), passes: 0 });
   }
 
   /** @example yield* membership.start(); */
   *start(): Task<boolean> {
-    const bound = yield* this.env.datagrams(this.self.address);
+    const bound = yield* this.env.datagrams(this.bind);
     if (!bound.ok) {
       this.env.log(1004, { task: "bind", fault: bound.fault });
       return false;
@@ -199,11 +200,11 @@
           const about = this.members.get(datagram.from.id)?.info;
           const updates = this.updates();
           if (about && about.state !== "alive") updates.push(about); // so that it can refute
-          this.send(got.from, { tag: "ack", n: datagram.n, from: this.self, wall: this.env.wall(), echo: datagram.wall, updates });
+          this.send(datagram.from.address, { tag: "ack", n: datagram.n, from: this.self, wall: this.env.wall(), echo: datagram.wall, updates });
           if (datagram.join) {
             const everyone = this.alive();
             for (let at = 0; at < everyone.length; at += Constants.piggybackUpdates)
-              this.send(got.from, { tag: "vouch", n: 0, from: this.self, updates: everyone.slice(at, at + Constants.piggybackUpdates) });
+              this.send(datagram.from.address, { tag: "vouch", n: 0, from: this.self, updates: everyone.slice(at, at + Constants.piggybackUpdates) });
           }
           break;
         }
@@ -220,7 +221,7 @@
         }
         case "askAround": {
           const membership = this;
-          const asker = got.from;
+          const asker = datagram.from.address;
           Csp.go(this.env.scope, "second opinion", function* () {
             const heard = yield* membership.ping(datagram.target, Constants.indirectTimeoutMs / 2);
             if (heard) membership.send(asker, { tag: "vouch", n: datagram.n, from: membership.self, updates: [] });
--- a/src/shard/shardCopy.ts
+++ b/src/shard/shardCopy.ts
@@ -21,6 +21,7 @@
   addressOf(id: string): string | undefined;
   bounds(): Bounds;
   vouches(): boolean;
+  putTook(ms: number): void;
   started(copy: ShardCopy): void;
   stopped(copy: ShardCopy): void;
 };
@@ -58,7 +59,7 @@
   private published = 0;
   private lowDisk = new Map<string, boolean>();
   private sinceFold = 0;
-  readonly counts = { puts: 0, batches: 0, late: 0, overruns: 0, mended: 0, maxPutMs: 0 };
+  readonly counts = { puts: 0, batches: 0, late: 0, overruns: 0, mended: 0 };
 
   constructor(
     private readonly env: Env,
@@ -293,6 +294,8 @@
       return Fault.ok({ mended });
     });
   }
+  /** Synced writes so far. @example copy.syncs() */
+  syncs = (): number => this.slots.syncs;
   /** @example copy.status().role */
   status(): CopyStatus {
     const now = this.env.mono();
@@ -493,7 +496,7 @@
       const bounds = this.hooks.bounds();
       batch.forEach((pending, at) => {
         const took = now - pending.put.stamp.time;
-        this.counts.maxPutMs = Math.max(this.counts.maxPutMs, this.env.mono() - pending.enqueuedAt);
+        this.hooks.putTook(this.env.mono() - pending.enqueuedAt);
         if (took > bounds.bigDeltaMs + bounds.epsilonMs + bounds.deltaMs) {
           this.counts.overruns += 1;
           this.env.log(1406, { shard: this.shard, putId: pending.put.putId, tookMs: Math.round(took) });
--- a/src/shard/shardState.ts
+++ b/src/shard/shardState.ts
@@ -1,4 +1,5 @@
 import { Constants } from "../constants";
+import { Binding } from "../control/controlState";
 import { Hash } from "../core/hash";
 import { Stamp } from "../core/stamp";
 
@@ -17,6 +18,7 @@
 export type Item = { state: ItemState; round: number; replica: string; owner: string; stamp: Stamp | null; result: string };
 export type Lot = {
   id: string; binding: string; bodyHash: string; bodies: string[]; safe: boolean; stamp: Stamp; order: number;
+  kept: Binding; // as it was when the lot was accepted
   items: Item[]; open: number; ended: boolean; endedBy: string; positions: number[]; version: number;
 };
 export type LedgerEntry = { stamp: Stamp; n: number; subject: string; decision: string; cause: Cause };
--- a/src/store/storeNode.ts
+++ b/src/store/storeNode.ts
@@ -6,6 +6,7 @@
 import { Fault, Result } from "../core/fault";
 import { Node } from "../core/node";
 import { Settings } from "../core/settings";
+import { Spread } from "../core/spread";
 import { Stamp } from "../core/stamp";
 import { OperatorHttp } from "../adapters/operatorHttp";
 import { ShardCopy } from "../shard/shardCopy";
@@ -25,6 +26,8 @@
   readonly putter: Putter;
   readonly chooser: Chooser;
   readonly work: Work;
+  private readonly puts = new Spread(); // in the lead's buffer until on every copy: Δ
+  private readonly relays = new Spread(); // from the stamp to the first store: ε with skew
   private constructor(
     readonly env: Env,
     readonly settings: Settings,
@@ -74,6 +77,7 @@
         addressOf: (id) => this.node.addressOf(id),
         bounds: () => this.node.bounds(),
         vouches: () => this.node.vouches(),
+        putTook: (ms) => this.puts.add(ms),
         started: (started) => this.work.leadStarted(started),
         stopped: (stopped) => this.work.leadStopped(stopped),
       });
@@ -125,7 +129,10 @@
       return Fault.ok({ shards: [...store.copies.values()].filter((copy) => copy.exists).map((copy) => copy.status()), stopping: store.node.stopping, vouches: store.node.vouches() });
     });
     on("shard.put", (copy, body) => this.put(copy, body));
-    on("work.open", (copy, body) => this.work.open(copy, body));
+    on("work.open", (copy, body) => {
+      this.relays.add(this.env.wall() - body.stamp.time);
+      return this.work.open(copy, body);
+    });
     on("work.read", (copy, body) => this.work.read(copy, body));
     on("work.refuse", (copy, body) => this.work.refuse(copy, body));
     on("lot.accept", (copy, body) => this.work.acceptLot(copy, body));
@@ -228,7 +235,8 @@
       copies: copies.length, leads: copies.filter((copy) => copy.role === "lead").length,
       puts: sum((copy) => copy.counts.puts), put_batches: sum((copy) => copy.counts.batches), late_puts: sum((copy) => copy.counts.late),
       overrun_puts: sum((copy) => copy.counts.overruns), mended_objects: sum((copy) => copy.counts.mended),
-      max_put_ms: Math.max(0, ...copies.map((copy) => copy.counts.maxPutMs)), restamped_puts: this.putter.restamped,
+      ...this.puts.metrics("put_ms"), ...this.relays.metrics("relay_ms"), skew_ms: +(this.node.membership.skew()?.offset ?? 0).toFixed(2),
+      disk_syncs: copies.reduce((total, copy) => total + copy.syncs(), 0), restamped_puts: this.putter.restamped,
       affinity_hits: this.chooser.hits, affinity_misses: this.chooser.misses, ...this.work.metrics(),
     };
   }
--- a/src/store/work.ts
+++ b/src/store/work.ts
@@ -61,6 +61,8 @@
 
   // ---------- live work ----------
   private binding = (name: string): Binding | undefined => this.node.frame().control?.manifest.doc.bindings[name];
+  /** A lot is kept though its binding was taken out of the manifest since. */
+  private bindingOf = (lot: Lot): Binding => this.binding(lot.binding) ?? lot.kept;
   private wish(binding: Binding, name: string, kind: string, caller: string, body: string, lane: Wish["lane"], exclude: Set<string>): Wish {
     return { frame: this.node.frame(), pool: binding.pool, binding: name, caller, kind, prefix: binding.kind === "stream" ? body.slice(0, binding.prefixBytes) : "", lane, exclude };
   }
@@ -289,7 +291,7 @@
       end(true);
       return sorry("claim was too old, or the replica has left", true);
     }
-    const delivery: Delivery = { path: binding.path, id, round, body: work.body, pieces, deadlineMs: leftMs };
+    const delivery: Delivery = { path: binding.path, id, round, body: work.body, pieces, deadlineMs: leftMs, safe: work.safe };
     this.env.point(52);
     if (binding.kind !== "stream") {
       this.counts.singles += 1;
@@ -492,15 +494,14 @@
         if (copy.holdsGrant()) lots.push({ lot, copy });
       }
       lots.sort((left, right) => left.lot.order - right.lot.order || Stamp.compare(left.lot.stamp, right.lot.stamp));
-      for (const pool of new Set(lots.map(({ lot }) => this.binding(lot.binding)?.pool ?? ""))) {
+      for (const pool of new Set(lots.map(({ lot }) => this.bindingOf(lot).pool))) {
         // opens by one a tick while live work leaves room, shuts at once when it does not
         const crowded = frame.crowded[pool] || now - (this.crowdedAt.get(pool) ?? -Infinity) < Constants.lotCrowdHoldMs;
         const window = crowded ? Constants.lotWindowMin : Math.min(Constants.lotWindowMax, (this.window.get(pool) ?? 0) + 1);
         this.window.set(pool, window);
       }
       for (const { lot, copy } of lots) {
-        const binding = this.binding(lot.binding);
-        if (!binding) continue;
+        const binding = this.bindingOf(lot);
         for (let at = 0; at < lot.items.length; at += 1) {
           const inFlight = this.lotsInFlight.get(binding.pool) ?? 0;
           if (inFlight >= (this.window.get(binding.pool) ?? 0)) break;
@@ -546,7 +547,7 @@
       return false;
     }
     this.counts.items += 1;
-    const replied = yield* ReplicaHttp.single(this.env, replica, { path: binding.path, id: name, round, body, pieces: [], deadlineMs: binding.deadlineMs });
+    const replied = yield* ReplicaHttp.single(this.env, replica, { path: binding.path, id: name, round, body, pieces: [], deadlineMs: binding.deadlineMs, safe: binding.safe });
     this.env.point(56);
     this.chooser.end(replica, replied.ok || replied.fault.step === "deliver");
     let op: Op;
--- a/src/tools/deployment.ts
+++ b/src/tools/deployment.ts
@@ -3,6 +3,7 @@
 import { Manifest, PolicyLine } from "../control/controlState";
 import { Fault, Result } from "../core/fault";
 import { Settings } from "../core/settings";
+import { Proxied } from "./linkProxies";
 import { ReplicaSettings } from "./standIns";
 
 export type Mix = {
@@ -17,7 +18,7 @@
   pools: Pool[]; manifest: Manifest; policies: PolicyLine[]; mix: Mix;
 };
 export type ProcessPlan = { name: string; settings: Settings };
-export type Plan = { processes: ProcessPlan[]; replicas: ReplicaSettings[]; ingressHttp: string[]; controlHttp: string[] };
+export type Plan = { proxied: Proxied[]; processes: ProcessPlan[]; replicas: ReplicaSettings[]; ingressHttp: string[]; controlHttp: string[] };
 const positive = { type: "number", exclusiveMinimum: 0 };
 const whole = { type: "integer", minimum: 1, maximum: 200 };
 const ms = { type: "number", minimum: 0 };
@@ -56,7 +57,7 @@
     return Fault.ok(deployment);
   },
   /** Three seeds: the first control members and the first store. @example Deployment.plan(deployment, 7000, "run") */
-  plan(deployment: Deployment, basePort: number, folder: string): Plan {
+  plan(deployment: Deployment, basePort: number, folder: string, proxies = false): Plan {
     let port = basePort;
     const next = (): string => `127.0.0.1:${(port += 1)}`;
     const district = (at: number): string => deployment.districts[at % deployment.districts.length];
@@ -73,12 +74,20 @@
       ...agents.map((place, at): ProcessPlan => ({ name: `agent-${at + 1}`, settings: { program: "agent", district: district(at), ...common, ...place } })),
       ...ingresses.map((place, at): ProcessPlan => ({ name: `ingress-${at + 1}`, settings: { program: "ingress", cluster: deployment.cluster, district: district(at), ...place, agent: agents[at].address } })),
     ];
+    const proxied: Proxied[] = [];
+    if (proxies)
+      for (const each of processes.filter((every) => every.settings.program !== "ingress")) {
+        each.settings.bind = next();
+        const beside = processes.find((every) => every.settings.agent === each.settings.address);
+        if (beside) beside.settings.agent = each.settings.bind; // same machine: their link is no link that is cut
+        proxied.push({ name: each.name, cluster: deployment.cluster, address: each.settings.address, bind: each.settings.bind });
+      }
     const ingressHttp = ingresses.map((place) => place.http);
     const replicas = deployment.pools.flatMap((pool) =>
       Array.from({ length: pool.replicas }, (_each, at): ReplicaSettings => {
         const { replicas: _count, ...rest } = pool;
         return { ...rest, id: `${pool.pool}-${at + 1}`, address: next(), district: district(at), version: "v1", announceTo: ingressHttp };
       }));
-    return { processes, replicas, ingressHttp, controlHttp: controls.map((place) => place.http) };
+    return { proxied, processes, replicas, ingressHttp, controlHttp: controls.map((place) => place.http) };
   },
 };
--- a/test/clock.test.ts
+++ b/test/clock.test.ts
@@ -1,6 +1,7 @@
 import { Stamp } from "../src/core/stamp";
 import { Put, ShardState } from "../src/shard/shardState";
 
+const kept = { kind: "item" as const, pool: "p", path: "/", safe: false, deadlineMs: 1000, continues: "no" as const, prefixBytes: 0 };
 const bounds = { deltaMs: 25, epsilonMs: 50, bigDeltaMs: 250 };
 const note = (putId: string, time: number, subject = "thing", node = "n"): Put => ({ putId, stamp: { time, node, seq: 0 }, ops: [{ op: "note", entries: [{ subject, decision: putId, cause: {} }] }], cause: {} });
 
@@ -41,7 +42,7 @@
 });
 test("a repeated put id changes nothing and gets the first outcome", () => {
   const data = ShardState.empty();
-  const lot: Put = { putId: "p", stamp: { time: 1, node: "n", seq: 0 }, ops: [{ op: "lot", lot: { id: "L", binding: "b", bodyHash: "h", bodies: ["1", "2"], safe: false, order: 1 } }], cause: {} };
+  const lot: Put = { putId: "p", stamp: { time: 1, node: "n", seq: 0 }, ops: [{ op: "lot", lot: { id: "L", binding: "b", bodyHash: "h", bodies: ["1", "2"], safe: false, order: 1, kept } }], cause: {} };
   expect(ShardState.apply(data, lot)).toEqual({ tag: "done" });
   expect(ShardState.apply(data, lot)).toEqual({ tag: "done" });
   expect(data.waiting).toHaveLength(1);
@@ -51,7 +52,7 @@
   const data = ShardState.empty();
   let time = 0;
   const put = (op: Put["ops"][0]): string => ShardState.apply(data, { putId: `p${(time += 1)}`, stamp: { time, node: "n", seq: 0 }, ops: [op], cause: {} }).tag;
-  expect(put({ op: "lot", lot: { id: "L", binding: "b", bodyHash: "h", bodies: ["1", "2", "3"], safe: false, order: 1 } })).toBe("done");
+  expect(put({ op: "lot", lot: { id: "L", binding: "b", bodyHash: "h", bodies: ["1", "2", "3"], safe: false, order: 1, kept } })).toBe("done");
   expect(put({ op: "itemClaim", lot: "L", item: 0, round: 1, replica: "r", owner: "s" })).toBe("done");
   expect(put({ op: "itemClaim", lot: "L", item: 0, round: 1, replica: "q", owner: "t" })).toBe("no");
   expect(put({ op: "itemResult", lot: "L", item: 0, round: 1, state: "done", result: "x" })).toBe("done");
--- a/test/surface.test.ts
+++ b/test/surface.test.ts
@@ -129,6 +129,12 @@
   expect((await ask("GET", `/v1/at/lot%20L1?time=${accepted}`)).body.version.decision).toBe("accepted with 3 items for confirm");
   const beyond = await ask("GET", `/v1/at/lot%20L1?time=${accepted + 60_000}&waitMs=100`);
   expect([beyond.status, beyond.body.code]).toEqual([503, "busy"]);
+  // a lot outlives its binding
+  expect((await ask("POST", "/v1/lots", { id: "L2", binding: "confirm", items: Array.from({ length: 60 }, (_each, at) => at) })).status).toBe(202);
+  const { confirm: _gone, ...others } = (await ask("GET", "/v1/manifest")).body.doc.bindings;
+  expect((await ask("PUT", "/v1/manifest", { bindings: others }, { "if-match": `"${version + 1}"` })).status).toBe(200);
+  await fleet.run(8000);
+  expect((await ask("GET", "/v1/lots/L2/results?limit=2000")).body).toMatchObject({ finished: true, next: 60 });
   // a foreign datagram and a foreign frame are dropped, and nothing falls
   const stranger = fleet.world.start("stranger", fleet.disks.get("store-1")!);
   const to = fleet.plan.processes[0].settings.address;
