--- a/src/cli/fleetCommand.ts
+++ b/src/cli/fleetCommand.ts
@@ -267,6 +267,11 @@
       const slowest = Math.max(0, ...history.of("lotAccepted").filter((seen) => seen.at > fault.at && seen.at - seen.tookMs < fault.at + 12_000).map((seen) => seen.tookMs));
       say(`fault ${fault.fault}: served again without a gap after ${back.join(", ")}; slowest lot taken after ${slowest.toFixed(0)} ms`);
     }
+    for (const store of troubles?.fleet.plan.processes.filter((each) => each.settings.program === "store") ?? []) {
+      const metrics = yield* Fleet.json(env, store.settings.http, "GET", "/metrics");
+      const wanted = String(metrics?.body ?? "").split("\n").filter((line) => /_(put_ms|relay_ms|late_puts|overrun|disk_syncs|puts |skew)/.test(line));
+      say(`${store.name} ${wanted.map((line) => line.replace("petrelbeam_", "").replace(" ", "=")).join(" ")}`);
+    }
     for (const violation of violations) say(`VIOLATION ${violation.invariant}: ${violation.detail}`);
     say(`violations: ${violations.length}`);
     if (history.of("lookup").length === 0 || history.of("streamEnd").length === 0) {
