--- a/src/control/views.ts
+++ b/src/control/views.ts
@@ -21,6 +21,7 @@
 export class Views {
   private statuses = new Map<string, StoreStatus>();
   private busy = new Set<number>();
+  private planned = new Map<number, View>();
   private firstStoreAt = Infinity;
   private waitingSaid = new Set<number>();
   private lastRebalanceAt = -Infinity;
@@ -74,11 +75,16 @@
   private copyOf(id: string, shard: number): CopyStatus | undefined {
     return this.statuses.get(id)?.shards.find((copy) => copy.shard === shard);
   }
+  /** Views in force, and first views on their way: they are proposed side by side and must see each other. */
+  private known(): View[] {
+    const { views } = this.group.state;
+    return [...Object.values(views), ...[...this.planned.values()].filter((view) => !views[view.shard])];
+  }
   private load(id: string): number {
-    return Object.values(this.group.state.views).filter((view) => view.members.includes(id)).length;
+    return this.known().filter((view) => view.members.includes(id)).length;
   }
   private leads(id: string): number {
-    return Object.values(this.group.state.views).filter((view) => view.lead === id).length;
+    return this.known().filter((view) => view.lead === id).length;
   }
   /** Stores that may take a copy of the shard, best first: new districts, then few copies, then by weight. */
   private candidates(shard: number, members: string[]): Member[] {
@@ -167,7 +173,10 @@
       members.push(next.id);
     }
     const lead = [...members].sort((left, right) => this.leads(left) - this.leads(right))[0];
-    yield* this.propose({ shard, epoch: 1, members, lead }, "first view", 0);
+    const view: View = { shard, epoch: 1, members, lead };
+    this.planned.set(shard, view);
+    yield* this.propose(view, "first view", 0);
+    this.planned.delete(shard);
   }
   private *propose(view: View, reason: string, waitMs: number): Task<boolean> {
     const outcome = yield* this.group.propose({ tag: "view", view, reason }, Constants.proposeTimeoutMs);
