--- a/test/surface.test.ts
+++ b/test/surface.test.ts
@@ -40,6 +40,13 @@
   fs.mkdirSync(data);
   fs.writeFileSync(path.join(data, "identity"), JSON.stringify({ id: "x", cluster: "another", program: "store" }));
   expect(run("store", "--cluster", "c", "--district", "d", "--address", "127.0.0.1:1", "--http", "127.0.0.1:2", "--seeds", "127.0.0.1:1", "--data", data)).toMatchObject({ status: 2, err: expect.stringContaining("another") });
+  // a folder that a living process holds: this test's own number and start time stand in it
+  const used = path.join(folder, "used");
+  fs.mkdirSync(used);
+  const stat = fs.readFileSync(`/proc/${process.pid}/stat`, "utf8");
+  fs.writeFileSync(path.join(used, "lock"), `${process.pid} ${stat.slice(stat.lastIndexOf(")") + 2).split(" ")[19]}`);
+  const store = ["store", "--cluster", "c", "--district", "d", "--address", "127.0.0.1:1", "--http", "127.0.0.1:2", "--seeds", "127.0.0.1:1", "--data", used];
+  expect(run(...store)).toMatchObject({ status: 1, err: expect.stringContaining("is in use by process") });
   fs.rmSync(folder, { recursive: true, force: true });
 }, 60_000);
 test("a reply that comes late finds another generation in its slot and reaches nobody", () => {
