--- a/test/surface.test.ts
+++ b/test/surface.test.ts
@@ -102,6 +102,11 @@
   expect((await ask("POST", "/v1/requests/nonesuch", {})).status).toBe(404);
   expect((await ask("POST", "/v1/requests/status", [1])).status).toBe(400);
   expect((await ask("POST", "/v1/requests/status", { q: "x".repeat(1_100_000) })).status).toBe(413);
+  const raw = fleet.world.start("raw", fleet.disks.get("store-1")!);
+  for (const path_ of ["/v1/requests/status", "/v1/requests/confirm", "/v1/lots"]) {
+    const notJson = await fleet.world.finish(raw, () => raw.env.http(ingress, { method: "POST", path: path_, body: "{", timeoutMs: 1000 }), 2000);
+    expect(notJson?.ok && notJson.value.status).toBe(400);
+  }
   expect((await ask("PATCH", "/v1/lots", {})).status).toBe(405);
   expect((await ask("GET", "/v1/nothing")).status).toBe(404);
   expect((await ask("GET", "/v1/lots/none")).status).toBe(404);
