--- a/src/control/group.ts
+++ b/src/control/group.ts
@@ -1,3 +1,4 @@
+import invariant from "tiny-invariant";
 import { Constants } from "../constants";
 import { Chan, Csp, Task } from "../csp/csp";
 import { Env, EnvTools } from "../env/env";
@@ -313,6 +314,7 @@
   private applyCommitted(): void {
     while (this.applied < this.commit) {
       const entry = this.entries[this.applied - this.baseIndex];
+      invariant(entry?.index === this.applied + 1, "entries are applied one after the other, none left out");
       const outcome = ControlState.apply(this.state, entry.index, entry.command);
       this.applied = entry.index;
       const waiting = this.waiting.get(entry.index);
--- a/src/shard/shardCopy.ts
+++ b/src/shard/shardCopy.ts
@@ -1,3 +1,4 @@
+import invariant from "tiny-invariant";
 import { Constants } from "../constants";
 import { Chan, Csp, Task } from "../csp/csp";
 import { Env, EnvTools } from "../env/env";
@@ -114,6 +115,7 @@
   private applyAll(): PutOutcome[] {
     const outcomes: PutOutcome[] = [];
     for (const entry of this.tail.slice(Math.max(0, this.tail.length - (this.seq - this.applied)))) {
+      invariant(entry.seq === this.applied + 1, "entries are applied one after the other, none left out");
       ShardState.advance(this.data, entry.frontier);
       for (const put of entry.puts) outcomes.push(ShardState.apply(this.data, put));
       this.applied = entry.seq;
