--- a/src/adapters/callerHttp.ts
+++ b/src/adapters/callerHttp.ts
@@ -164,7 +164,7 @@
         const arrival = first ? stamp.value : ingress.putter.stamp(env.wall());
         first = false;
         return { stamp: arrival, lot, cause: accepted.value.cause };
-      }, Constants.requestDeadlineMs, 2000, Constants.openPatienceMs);
+      }, Constants.lotPatienceMs, 2000, Constants.openPatienceMs);
       if (!done.ok) {
         const lost = done.fault.tag !== "busy" && done.fault.tag !== "unknown";
         return Http.problem(incoming, lost ? { tag: "busy", step: "accept lot", member: done.fault.member, detail: done.fault.detail, retryAfterMs: 2 * Constants.retryAfterMs } : done.fault, undefined, { lot: id });
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -92,6 +92,7 @@
   frameStaleMs: 1500, // ms; without word from the others (an ingress: from its agent) new work is held; under the two seconds in which a configuration must be in force
   readWaitMs: 2500, // ms; a read past the frontier waits at most this long
   storeRoundMs: 300, // ms; between rounds while a shard's lead is being found
+  lotPatienceMs: 5000, // ms; a lot whose acceptance is not known by then: its caller may ask again by the same id, elsewhere
   openPatienceMs: 1500, // ms; a shard's lead that cannot be reached is looked for this long, then busy is said
   slabSlots: 4096, // continuations; requests at once in one process
 
--- a/test/simSuite.ts
+++ b/test/simSuite.ts
@@ -10,6 +10,7 @@
   { scenario: "freeze-edge", seed: 1, point: 0 },
   { scenario: "slow-puts", seed: 2, point: 0 },
   { scenario: "kill-at-point", seed: 3, point: 21 },
+  { scenario: "ingress-deaf", seed: 6, point: 0 },
   { scenario: "ingress-deaf", seed: 1, point: 0 },
 ];
 const cases: Case[] = [
