--- a/src/core/node.ts
+++ b/src/core/node.ts
@@ -96,11 +96,11 @@
     for (const replica of replicas) if ((byId.get(replica.id)?.bornAt ?? -1) < replica.bornAt) byId.set(replica.id, replica);
     return [...byId.values()];
   }
-  /** SIGTERM: unready, a moment for the news of it, goodbye. @example yield* node.depart(); */
-  *depart(): Task<void> {
+  /** SIGTERM: unready, what is in flight (else a moment for the news of it), goodbye. @example yield* node.depart(); */
+  *depart(finish: () => Task<void> = () => EnvTools.sleep(this.env, 300)): Task<void> {
     this.env.log(1002);
     this.stopping = true;
-    yield* EnvTools.sleep(this.env, 300);
+    yield* finish();
     this.membership.leave();
     yield* EnvTools.sleep(this.env, 100);
     this.env.log(1003);
--- a/src/store/storeNode.ts
+++ b/src/store/storeNode.ts
@@ -236,19 +236,17 @@
       puts: sum((copy) => copy.counts.puts), put_batches: sum((copy) => copy.counts.batches), late_puts: sum((copy) => copy.counts.late),
       overrun_puts: sum((copy) => copy.counts.overruns), mended_objects: sum((copy) => copy.counts.mended),
       ...this.puts.metrics("put_ms"), ...this.relays.metrics("relay_ms"), skew_ms: +(this.node.membership.skew()?.offset ?? 0).toFixed(2),
-      disk_syncs: copies.reduce((total, copy) => total + copy.syncs(), 0), restamped_puts: this.putter.restamped,
+      disk_syncs: sum((copy) => copy.syncs()), restamped_puts: this.putter.restamped,
       affinity_hits: this.chooser.hits, affinity_misses: this.chooser.misses, ...this.work.metrics(),
     };
   }
   /** SIGTERM: leads are handed on, work in flight ends or is taken over, goodbye. @example yield* store.stop(); */
-  *stop(): Task<void> {
-    this.env.log(1002);
-    this.node.stopping = true;
-    const until = this.env.mono() + Constants.stopGraceMs;
-    while (this.env.mono() < until && (this.work.inFlight() > 0 || [...this.copies.values()].some((copy) => copy.role === "lead" && copy.view!.members.length > 1)))
-      yield* EnvTools.sleep(this.env, 50);
-    this.node.membership.leave();
-    yield* EnvTools.sleep(this.env, 100);
-    this.env.log(1003);
+  stop(): Task<void> {
+    const store = this;
+    return this.node.depart(function* () {
+      const until = store.env.mono() + Constants.stopGraceMs;
+      while (store.env.mono() < until && (store.work.inFlight() > 0 || [...store.copies.values()].some((copy) => copy.role === "lead" && copy.view!.members.length > 1)))
+        yield* EnvTools.sleep(store.env, 50);
+    });
   }
 }
--- a/src/wire/rpc.ts
+++ b/src/wire/rpc.ts
@@ -95,19 +95,18 @@
       if (made) return Fault.ok(made);
       return underWay.failed ?? Fault.fail("refused", "connect", address, "connection ended as it was made");
     }
-    const attempt: Connecting = { done: Csp.chan<true>(1), failed: undefined };
-    this.connecting.set(address, attempt);
+    const making: Connecting = { done: Csp.chan<true>(1), failed: undefined };
+    this.connecting.set(address, making);
     const linked = yield* this.env.connect(address, Constants.connectTimeoutMs / 2);
+    this.connecting.delete(address);
     if (!linked.ok) {
-      attempt.failed = linked;
-      this.connecting.delete(address);
-      attempt.done.close();
+      making.failed = linked;
+      making.done.close();
       return linked;
     }
     const connection: Connection = { link: linked.value, waiting: new Map(), lastHeard: this.env.mono() };
     this.connections.set(address, connection);
-    this.connecting.delete(address);
-    attempt.done.close();
+    making.done.close();
     const rpc = this;
     Csp.go(this.env.scope, `link to ${address}`, function* () {
       for (;;) {
