Joiners and survivors are brought to the sealed end before a view is committed

Cause: a joining copy was filled while puts went on, then a view with it was committed, and only afterwards the new lead brought it up. If the other members were lost in between, the joiner was the only one that sealed, and its shorter log led: acknowledged puts were gone.

Shown by: scenario join-and-lose (retirement or a machine added; every other member lost at points 48, 40, 39, 38) with a new invariant, acknowledged-on-every-member, which looks at the synced logs on the simulated disks of all members at each commit of a view.

Change: the change of view seals, then the longest sealed log brings every member of the next view, joiners too, to its end, synced there (shard.level), and only then the view is committed. Who cannot be brought there within 1.5 s is left out. The lead's own bring-up after the commit is gone.

Addresses in membership alone are not enough for a machine that joined some milliseconds ago.

--- a/scripts/bite.js
+++ b/scripts/bite.js
@@ -9,6 +9,7 @@
 
 const bites = [
   { name: "all-of-view", file: "shard/shardCopy.js", find: "heard < members.length; heard += 1)\n                if", put: "heard < members.length - 2; heard += 1)\n                if", scenario: "disk-loss-two", expect: ["lot-kept", "no-task-error", "one-position", "never-twice", "stream-exact"] },
+  { name: "level-before-view", file: "control/views.js", find: "this.choose(view, level.ids, joiners)", put: "this.choose(view, [...new Set([...sealed.map((copy) => copy.id), ...joiners])], joiners)", also: { file: "shard/shardCopy.js", find: "if (yield* copy.levelOne(address, body.epoch, until))", put: "if (true)" }, scenario: "join-and-lose", expect: ["acknowledged-on-every-member"] },
   { name: "unknown-is-never-rerun", file: "store/work.js", find: "if (!work.safe) {\n                            this.counts.unknowns", put: "if (false) {\n                            this.counts.unknowns", also: { file: "store/work.js", find: "const mayGoOn = work.safe &&", put: "const mayGoOn =" }, scenario: "replicas-dark", expect: ["never-twice"] },
   { name: "items-are-never-rerun", file: "store/work.js", find: "replied.fault.tag === \"refused\" || binding.safe", put: "true", scenario: "replicas-dark", expect: ["never-twice"] },
   { name: "lost-items-are-unknown", file: "store/work.js", find: "copy.data.lots[lotId].safe\n", put: "true\n", scenario: "kill-store", expect: ["never-twice"] },
--- a/src/cli/simCommand.ts
+++ b/src/cli/simCommand.ts
@@ -47,7 +47,7 @@
         let runs = 0;
         for (let seed = Number(options.seed); seed < Number(options.seed) + Number(options.seeds); seed += 1)
           for (const scenario of scenarios) {
-            const points = scenario.name !== "kill-at-point" ? [0] : point !== 0 ? [point] : Object.keys(Scenarios.points).map(Number);
+            const points = !scenario.points ? [0] : point !== 0 ? scenario.points.filter((each) => each === point) : scenario.points;
             for (const each of points) {
               const lines: string[] = [];
               const report = await Campaign.run(deployment.value, scenario, seed, each, options.trace ? (line) => lines.push(line) : undefined);
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -60,6 +60,7 @@
   grantRenewMs: 400, // ms; idle renewal, also carries the frontier to the copies
   replicateTimeoutMs: 900, // ms; a member that does not sync by then makes the lead ask for a new view
   sealTimeoutMs: 700, // ms; survivors answer a seal by then or stay out
+  levelTimeoutMs: 1500, // ms; who is not at the sealed end by then is left out of the next view; a missing tail takes a few ms
   statusPeriodMs: 400, // ms; control lead looks at every store
   viewSettleMs: 2500, // ms; the first views wait this long for stores to be found
   shardLogKeep: 500, // entries; log is folded into a slot past this length
--- a/src/control/views.ts
+++ b/src/control/views.ts
@@ -178,72 +178,83 @@
     yield* this.propose(view, "first view", 0);
     this.planned.delete(shard);
   }
-  private *propose(view: View, reason: string, waitMs: number): Task<boolean> {
+  private *propose(view: View, reason: string, waitMs: number, joiners: string[] = []): Task<boolean> {
     const outcome = yield* this.group.propose({ tag: "view", view, reason }, Constants.proposeTimeoutMs);
     if (!outcome.ok || outcome.value.tag !== "done") return false;
     this.changed += 1;
-    this.env.point(38);
-    const views = this;
-    const installs = Csp.chan<true>(16);
-    for (const id of [view.lead, ...view.members.filter((member) => member !== view.lead)]) {
-      Csp.go(this.env.scope, "install view", function* () {
-        const address = views.node.addressOf(id);
-        if (address) yield* views.node.rpc.ask(address, "shard.install", { shard: view.shard, view, waitMs }, 800);
-        Csp.offer(installs, true);
-      });
-    }
-    for (let heard = 0; heard < view.members.length; heard += 1) yield* Csp.take(installs);
+    this.env.point(38, { shard: view.shard, joiners });
+    yield* this.askAll(view.members, "shard.install", { shard: view.shard, view, waitMs }, 800);
     return true;
   }
 
-  /** Survivors seal the old epoch; the longest sealed log leads the next. */
-  private *reconfigure(shard: number, reason: string, joiners: string[]): Task<boolean> {
-    const view = this.group.state.views[shard];
-    const epoch = view.epoch + 1;
-    type Sealed = { id: string; seq: number; lastEpoch: number; grantLeftMs: number };
-    const sealed: Sealed[] = [];
+  /** The same asked of several members at once; who answered, and what. */
+  private *askAll<T>(ids: string[], verb: string, body: Record<string, unknown>, timeoutMs: number): Task<(T & { id: string })[]> {
+    const heard: (T & { id: string })[] = [];
     const done = Csp.chan<true>(16);
     const views = this;
-    const asked = view.members.filter((id) => this.node.addressOf(id));
-    for (const id of asked)
-      Csp.go(this.env.scope, `seal at ${id}`, function* () {
-        const replied = yield* views.node.rpc.ask(views.node.addressOf(id)!, "shard.seal", { shard, epoch }, Constants.sealTimeoutMs);
-        if (replied.ok) sealed.push({ id, ...replied.value });
+    for (const id of ids)
+      Csp.go(this.env.scope, `${verb} at ${id}`, function* () {
+        const address = views.node.addressOf(id);
+        const replied = address ? yield* views.node.rpc.ask<T>(address, verb, body, timeoutMs) : undefined;
+        if (replied?.ok) heard.push({ id, ...replied.value });
         Csp.offer(done, true);
       });
-    for (let heard = 0; heard < asked.length; heard += 1) yield* Csp.take(done);
-    this.env.point(39);
+    for (let waited = 0; waited < ids.length; waited += 1) yield* Csp.take(done);
+    return heard;
+  }
+  /**
+   * Survivors seal the old epoch; whoever is to be a member of the next view, joiners too, is brought to the sealed
+   * end and has synced it; only then is the view committed. Who can't be brought there in time is left out.
+   */
+  private *reconfigure(shard: number, reason: string, joiners: string[]): Task<boolean> {
+    const view = this.group.state.views[shard];
+    const epoch = view.epoch + 1;
+    const sealed = yield* this.askAll<{ seq: number; lastEpoch: number; grantLeftMs: number }>(view.members, "shard.seal", { shard, epoch }, Constants.sealTimeoutMs);
+    const sealedAt = this.env.mono();
+    this.env.point(39, { shard, joiners });
     if (sealed.length === 0) {
       if (!this.waitingSaid.has(shard)) this.env.log(1403, { shard, members: view.members });
       this.waitingSaid.add(shard);
       return false;
     }
     this.waitingSaid.delete(shard);
-    sealed.sort((left, right) => right.lastEpoch - left.lastEpoch || right.seq - left.seq);
-    const longest = sealed[0];
-    const whole = sealed.filter((copy) => copy.lastEpoch === longest.lastEpoch && copy.seq === longest.seq);
-    // who may stay: not retiring and not leaving, unless nobody else is intact
-    const wanted = (id: string): boolean => !this.group.state.retiring.includes(id) && !this.statuses.get(id)?.stopping;
-    const clockOk = (id: string): boolean => this.statuses.get(id)?.vouches !== false;
-    const leadChoices = [whole.filter((copy) => wanted(copy.id) && clockOk(copy.id)), whole.filter((copy) => wanted(copy.id)), whole].find((choice) => choice.length > 0)!;
-    const lead = (leadChoices.find((copy) => copy.id === view.lead) ?? [...leadChoices].sort((left, right) => this.leads(left.id) - this.leads(right.id))[0]).id;
-    let members = [lead, ...sealed.map((copy) => copy.id).filter((id) => id !== lead && wanted(id)), ...joiners];
-    if (members.length < Constants.minCopiesForLots) members = [lead, ...sealed.map((copy) => copy.id).filter((id) => id !== lead), ...joiners];
-    while (members.length > Constants.copies) {
-      const droppable = members.filter((id) => id !== lead && !joiners.includes(id)).sort((left, right) => this.load(right) - this.load(left));
-      members = members.filter((id) => id !== droppable[0]);
-    }
+    const [longest] = sealed.sort((left, right) => right.lastEpoch - left.lastEpoch || right.seq - left.seq);
+    // with their addresses: a store may not have heard yet of a machine that was just added
+    const targets = [...sealed.slice(1).map((copy) => copy.id), ...joiners].flatMap((id) => {
+      const address = this.node.addressOf(id);
+      return address ? [{ id, address }] : [];
+    });
+    const [level] = yield* this.askAll<{ ids: string[] }>([longest.id], "shard.level", { shard, epoch, targets }, Constants.levelTimeoutMs + Constants.sealTimeoutMs);
+    if (!level) return false;
+    this.env.point(36, { shard, joiners });
+    const next = this.choose(view, level.ids, joiners);
     // the old lead has stopped if it sealed; else its grant ends with the first member that will not renew it
     const leadSealed = sealed.some((copy) => copy.id === view.lead);
-    const waitMs = leadSealed ? 0 : Math.min(...sealed.map((copy) => copy.grantLeftMs)) + 50;
-    return yield* this.propose({ shard, epoch, members, lead }, reason, waitMs);
+    const grantLeftMs = leadSealed ? 0 : Math.min(...sealed.map((copy) => copy.grantLeftMs)) + 50;
+    return yield* this.propose({ shard, epoch, ...next }, reason, Math.max(0, grantLeftMs - (this.env.mono() - sealedAt)), joiners.filter((id) => next.members.includes(id)));
+  }
+  /** Members and lead of the next view, out of those that stand at the sealed end. */
+  private choose(view: View, level: string[], joiners: string[]): { members: string[]; lead: string } {
+    // who may stay: not retiring and not leaving, unless too few others are intact
+    const wanted = (id: string): boolean => !this.group.state.retiring.includes(id) && !this.statuses.get(id)?.stopping;
+    const staying = level.filter(wanted);
+    let members = staying.length < Constants.minCopiesForLots ? level : staying;
+    const clockOk = (id: string): boolean => this.statuses.get(id)?.vouches !== false;
+    const choices = [members.filter((id) => wanted(id) && clockOk(id)), members.filter(wanted), members].find((choice) => choice.length > 0)!;
+    const byLoad = [...choices].sort((left, right) => +joiners.includes(left) - +joiners.includes(right) || this.leads(left) - this.leads(right));
+    const lead = choices.find((id) => id === view.lead) ?? byLoad[0];
+    const droppable = members.filter((id) => id !== lead && !joiners.includes(id)).sort((left, right) => this.load(right) - this.load(left));
+    const dropped = droppable.slice(0, Math.max(0, members.length - Constants.copies));
+    members = members.filter((id) => id !== lead && !dropped.includes(id));
+    return { members: [lead, ...members], lead };
   }
   private *fillAndJoin(shard: number, target: Member, reason: string): Task<void> {
     const view = this.group.state.views[shard];
     const lead = this.node.addressOf(view.lead);
     if (!lead) return;
-    const filled = yield* this.node.rpc.ask(lead, "shard.fill", { shard, target: target.id }, 6000);
+    const filled = yield* this.node.rpc.ask(lead, "shard.fill", { shard, target: target.id, address: target.address }, 6000);
     if (!filled.ok || filled.value.tag !== "ok" || !this.group.holdsLead() || this.group.state.views[shard].epoch !== view.epoch) return;
+    this.env.point(40, { shard, joiners: [target.id] });
     yield* this.reconfigure(shard, `${reason}: ${target.id} filled`, [target.id]);
   }
   /** Shards that still have a copy on the store. @example views.remaining("store-3") */
--- a/src/env/env.ts
+++ b/src/env/env.ts
@@ -49,6 +49,8 @@
   /** One process at a time. */
   lock(folder: string): Task<Result<true>>;
 }
+/** What a fault point is about, for scenarios that lose what belongs to it. */
+export type About = { shard: number; joiners: string[] };
 export interface Timer {
   readonly chan: Chan<never>; // closed when due
   cancel(): void;
@@ -68,7 +70,7 @@
   serveHttp(address: string, handler: (incoming: HttpIn) => Task<void>): Task<Result<true>>;
   http(address: string, out: HttpOut): Task<Result<HttpReply>>;
   /** A numbered fault point: the simulator may end the process here. */
-  point(number: number): void;
+  point(number: number, about?: About): void;
   log(event: number, fields?: Record<string, unknown>): void;
 }
 
--- a/src/env/twoSlots.ts
+++ b/src/env/twoSlots.ts
@@ -25,6 +25,10 @@
   return { number: data.readUInt32BE(at + 8), body, end };
 }
 
+function* frames(magic: number, bytes: Buffer): Generator<{ number: number; body: Buffer; end: number }> {
+  for (let read = unframe(magic, bytes, 0); read; read = unframe(magic, bytes, read.end)) yield read;
+}
+
 /**
  * State on disk: two slots written in turn and a short log between. Slot n stands before log n;
  * log n−1 is kept until slot n+1 is down, so that a damaged slot costs nothing.
@@ -47,6 +51,17 @@
   private slotFile = (generation: number): string => `${this.folder}/slot-${generation % 2 === 0 ? "a" : "b"}`;
   private logFile = (generation: number): string => `${this.folder}/log-${generation}`;
 
+  /** What a disk holds synced, as a start would find it, without touching it. @example TwoSlots.peek((name) => files.get(name), names) */
+  static peek(read: (name: string) => Buffer | undefined, names: string[]): { state: Buffer | undefined; records: Buffer[] } {
+    const slots = names.flatMap((name) => {
+      const whole = name.startsWith("slot-") ? unframe(slotMagic, read(name) ?? Buffer.alloc(0), 0) : undefined;
+      return whole ? [whole] : [];
+    });
+    slots.sort((left, right) => right.number - left.number);
+    const base = slots[0]?.number ?? 0;
+    const logs = names.filter((name) => /^log-\d+$/.test(name) && +name.slice(4) >= base).sort((left, right) => +left.slice(4) - +right.slice(4));
+    return { state: slots[0]?.body, records: logs.flatMap((name) => [...frames(recordMagic, read(name) ?? Buffer.alloc(0))].map((each) => each.body)) };
+  }
   /** What was last written: the newest whole slot and every record since. @example yield* slots.open() */
   *open(): Task<Result<Opened>> {
     const names = yield* this.env.disk.list(this.folder);
@@ -80,7 +95,7 @@
       if (!data.ok) return data;
       const bytes = data.value ?? Buffer.alloc(0);
       let at = 0;
-      for (let read = unframe(recordMagic, bytes, at); read; read = unframe(recordMagic, bytes, at)) {
+      for (const read of frames(recordMagic, bytes)) {
         records.push(JSON.parse(read.body.toString("utf8")));
         at = read.end;
       }
--- a/src/shard/shardCopy.ts
+++ b/src/shard/shardCopy.ts
@@ -258,12 +258,82 @@
     }
     return installed;
   }
+  /** The longest sealed log brings others to its end, each synced there, before the next view is committed. @example yield* copy.onLevel(body) */
+  *onLevel(body: { epoch: number; targets: { id: string; address: string }[] }): Task<Result<any>> {
+    const fault = this.levelFault(body.epoch);
+    if (fault) return fault;
+    this.env.point(50, { shard: this.shard, joiners: body.targets.map(({ id }) => id).filter((id) => !this.view?.members.includes(id)) });
+    const ids = [this.self];
+    const done = Csp.chan<true>(16);
+    const copy = this;
+    const until = this.env.mono() + Constants.levelTimeoutMs;
+    for (const { id, address } of body.targets)
+      Csp.go(this.env.scope, `level ${id}`, function* () {
+        if (yield* copy.levelOne(address, body.epoch, until)) ids.push(id);
+        Csp.offer(done, true);
+      });
+    for (let heard = 0; heard < body.targets.length; heard += 1) yield* Csp.take(done);
+    return this.levelFault(body.epoch) ?? Fault.ok({ ids });
+  }
+  private levelFault(epoch: number): Result<never> | undefined {
+    if (this.slots.broken) return Fault.fail("disk", "level", this.self, "disk failed");
+    if (this.sealedInThisLife === epoch && this.sealed === epoch && (this.view?.epoch ?? 0) < epoch) return undefined;
+    return Fault.fail("conflict", "level", this.self, `sealed for ${this.sealed}`);
+  }
+  private *levelOne(address: string, epoch: number, until: number): Task<boolean> {
+    let from = this.seq;
+    while (this.env.mono() < until && !this.levelFault(epoch)) {
+      const entries = this.tail.filter((entry) => entry.seq > from).slice(0, Constants.fillEntries);
+      const replied = yield* this.rpc.ask(address, "shard.catchUp", { shard: this.shard, epoch, prevSeq: from, prevEpoch: this.epochAt(from), entries }, Math.min(Constants.sealTimeoutMs, until - this.env.mono()));
+      if (!replied.ok) {
+        if (replied.fault.tag !== "timeout" && replied.fault.tag !== "broken") return false;
+        continue;
+      }
+      const where: { tag: string; seq: number; lastEpoch: number } = replied.value;
+      if (where.tag === "ok" && where.seq === this.seq && where.lastEpoch === this.lastEpoch) return true;
+      if (where.tag !== "ok" && where.tag !== "behind") return false;
+      if (this.hasTailAfter(where)) from = where.seq;
+      else if (!(yield* this.sendWhole(address, epoch, until - this.env.mono()))) return false;
+    }
+    return false;
+  }
+  /** Whether a log that ends there can go on with entries of our tail. */
+  private hasTailAfter = (where: { seq: number; lastEpoch: number }): boolean =>
+    where.seq > 0 && where.seq <= this.seq && this.epochAt(where.seq) === where.lastEpoch && (where.seq === this.seq || (this.tail[0]?.seq ?? Infinity) <= where.seq + 1);
+  private *sendWhole(address: string, epoch: number, withinMs: number): Task<boolean> {
+    const whole = yield* this.rpc.ask(address, "shard.whole", { shard: this.shard, epoch, saved: this.saved() }, withinMs);
+    return whole.ok && whole.value.tag === "ok";
+  }
+  /** A member of the next view takes the sealed end's last entries, and its seal. @example yield* copy.onCatchUp(body) */
+  *onCatchUp(body: { epoch: number; prevSeq: number; prevEpoch: number; entries: Entry[] }): Task<Result<any>> {
+    const copy = this;
+    return yield* this.locked<Result<any>>(function* () {
+      if (copy.slots.broken) return Fault.ok({ tag: "broken" });
+      if (body.epoch < copy.sealed || body.epoch <= (copy.view?.epoch ?? 0)) return Fault.ok({ tag: "sealed", epoch: copy.sealed });
+      const matches = copy.seq === body.prevSeq && copy.lastEpoch === body.prevEpoch;
+      if (!matches) return Fault.ok({ tag: "behind", seq: copy.seq, lastEpoch: copy.lastEpoch });
+      const records: Noted[] = body.entries.map((entry) => ({ tag: "entry", entry }));
+      if (copy.sealed < body.epoch) records.unshift({ tag: "seal", epoch: body.epoch });
+      const done: Result<true> = records.length > 0 ? yield* copy.write(records) : Fault.ok(true as const);
+      if (!done.ok) return Fault.ok({ tag: "broken" });
+      copy.exists = true;
+      copy.sealed = copy.sealedInThisLife = body.epoch;
+      copy.stopLead("sealed");
+      copy.remember(body.entries);
+      copy.applyAll();
+      copy.env.point(49, { shard: copy.shard, joiners: copy.view?.members.includes(copy.self) ? [] : [copy.self] });
+      return Fault.ok({ tag: "ok", seq: copy.seq, lastEpoch: copy.lastEpoch });
+    });
+  }
   /** Everything at once, for a copy too far behind. @example yield* copy.onWhole(body) */
   *onWhole(body: { epoch: number; saved: Saved; join: boolean }): Task<Result<any>> {
     const copy = this;
     return yield* this.locked<Result<any>>(function* () {
       if (copy.slots.broken) return Fault.fail("disk", "whole", copy.self, "disk failed");
       if (body.epoch < copy.sealed || body.epoch < (copy.view?.epoch ?? 0)) return Fault.ok({ tag: "sealed", epoch: copy.sealed });
+      // a member of the view that it was taken from is never set back
+      if (copy.view?.members.includes(copy.self) && copy.view.epoch === body.saved.view?.epoch && body.saved.seq < copy.seq)
+        return Fault.fail("conflict", "whole", copy.self, `holds ${copy.seq} already`);
       copy.stopLead("filled from another");
       const saved: Saved = { ...body.saved, sealed: Math.max(copy.sealed, body.epoch) };
       const done = yield* copy.slots.rotate(saved);
@@ -357,36 +427,6 @@
         return "failed";
     }
   }
-  /** Brings one member to our last entry. */
-  private *bringUp(id: string, epoch: number): Task<boolean> {
-    let next = this.seq;
-    for (let round = 0; round < 200 && this.isLeadOf(epoch); round += 1) {
-      const address = this.hooks.addressOf(id);
-      if (!address) return false;
-      const upTo = this.seq;
-      const entries = next < upTo ? this.tail.filter((entry) => entry.seq > next).slice(0, Constants.fillEntries) : [];
-      const sent = yield* this.send(id, epoch, next, entries);
-      if (sent === "ok") {
-        next += entries.length;
-        if (next >= this.seq) return true;
-      } else if (sent === "behind") {
-        const where = yield* this.rpc.ask(address, "shard.position", { shard: this.shard }, 500);
-        if (!where.ok) return false;
-        const known = where.value.exists && where.value.seq <= this.seq && this.epochAt(where.value.seq) === where.value.lastEpoch && where.value.seq > 0;
-        if (known && where.value.seq !== next && (this.tail[0]?.seq ?? Infinity) <= where.value.seq + 1) next = where.value.seq;
-        else {
-          const whole = yield* this.rpc.ask(address, "shard.whole", { shard: this.shard, epoch, saved: this.saved() }, 5000);
-          if (!whole.ok || whole.value.tag !== "ok") return false;
-          next = this.applied;
-        }
-      } else if (sent === "over") return false;
-      else {
-        this.failSince(id);
-        return false;
-      }
-    }
-    return false;
-  }
   private failSince(id: string): void {
     if (!this.failing.has(id)) this.failing.set(id, this.env.mono());
   }
@@ -397,8 +437,12 @@
     this.grants.clear();
     const ready = Csp.chan<true>(16);
     for (const id of this.others())
-      Csp.go(this.env.scope, `bring up ${id}`, function* () {
-        while (copy.isLeadOf(epoch) && !(yield* copy.bringUp(id, epoch))) yield* EnvTools.sleep(copy.env, 100);
+      Csp.go(this.env.scope, `grant of ${id}`, function* () {
+        // every member stands where we stand: the view was committed only then
+        while (copy.isLeadOf(epoch) && (yield* copy.send(id, epoch, copy.seq, [])) !== "ok") {
+          copy.failSince(id);
+          yield* EnvTools.sleep(copy.env, 40);
+        }
         Csp.offer(ready, true);
       });
     for (let heard = 0; heard < this.others().length; heard += 1) yield* Csp.take(ready);
@@ -425,7 +469,6 @@
         Csp.go(this.env.scope, "renew", function* () {
           const sent = yield* copy.send(id, epoch, copy.applied, []);
           if (sent === "failed" || sent === "behind") copy.failSince(id);
-          if (sent === "behind") yield* copy.bringUp(id, epoch);
         });
       yield* EnvTools.sleep(this.env, Constants.grantRenewMs);
     }
@@ -532,21 +575,17 @@
       }
       if (replied?.ok && replied.value.tag === "broken") this.failing.set(id, -Infinity);
       else this.failSince(id);
-      if (replied?.ok && replied.value.tag === "behind") yield* this.bringUp(id, epoch);
       yield* EnvTools.sleep(this.env, 40);
     }
   }
-  /** Fills a store that is to join; it becomes a member by a further view only. @example yield* copy.fill("node-9") */
-  *fill(target: string): Task<Result<any>> {
+  /** Fills a store that is to join, while puts go on; it becomes a member only once it was brought to a sealed end. @example yield* copy.fill("node-9", "10.0.0.9:7000") */
+  *fill(target: string, address: string): Task<Result<any>> {
     if (!this.holdsGrant() || !this.view) return Fault.fail("notLead", "fill", this.self, "");
-    const address = this.hooks.addressOf(target);
-    if (!address) return Fault.fail("notFound", "fill", target, "no such member");
     const where = yield* this.rpc.ask(address, "shard.position", { shard: this.shard }, 500);
     if (!where.ok) return where;
-    const known = where.value.exists && where.value.seq > 0 && this.epochAt(where.value.seq) === where.value.lastEpoch && (this.tail[0]?.seq ?? Infinity) <= where.value.seq + 1;
-    if (known) return Fault.ok({ tag: "ok" });
-    this.env.point(48);
-    return yield* this.rpc.ask(address, "shard.whole", { shard: this.shard, epoch: this.view.epoch, saved: this.saved() }, 5000);
+    if (where.value.exists && this.hasTailAfter(where.value)) return Fault.ok({ tag: "ok" });
+    this.env.point(48, { shard: this.shard, joiners: [target] });
+    return (yield* this.sendWhole(address, this.view.epoch, 5000)) ? Fault.ok({ tag: "ok" }) : Fault.fail("unknown", "fill", target, "not filled in time");
   }
   /** Compares ranges with every other member and mends what differs. @example yield* copy.repair() */
   *repair(): Task<number> {
--- a/src/sim/scenarios.ts
+++ b/src/sim/scenarios.ts
@@ -1,6 +1,11 @@
 import { SimFleet } from "./simFleet";
 
-export type Scenario = { number: number; name: string; about: string; load?: number; run: (fleet: SimFleet, point: number) => Promise<void> };
+export type Scenario = {
+  number: number; name: string; about: string; load?: number;
+  /** Each of these in turn, when none is named. */
+  points?: number[];
+  run: (fleet: SimFleet, point: number) => Promise<void>;
+};
 
 /** Points that a run may be killed at; docs/faults.md says what each is. */
 const points: Record<number, { process: string; about: string }> = {
@@ -15,8 +20,10 @@
   34: { process: "control-", about: "a vote was saved, not yet given" },
   35: { process: "control-", about: "a follower saved entries, not yet said so" },
   37: { process: "control-", about: "decisions told to the ledger, not yet marked as told" },
+  36: { process: "control-", about: "all of the next view stand at the sealed end, the view not yet committed" },
   38: { process: "control-", about: "a view was committed, not yet installed" },
   39: { process: "control-", about: "survivors sealed, no view yet" },
+  40: { process: "control-", about: "a joining copy was filled, nobody has sealed yet" },
   41: { process: "store-", about: "a member is about to write an entry" },
   42: { process: "store-", about: "a member wrote an entry, not yet said so" },
   43: { process: "store-", about: "a member sealed, not yet said so" },
@@ -25,6 +32,8 @@
   46: { process: "store-", about: "the lead wrote an entry, not yet on every copy" },
   47: { process: "store-", about: "an entry is on every copy, just answered" },
   48: { process: "store-", about: "the lead is filling a new copy" },
+  49: { process: "store-", about: "a member of the next view was brought to the sealed end, not yet said so" },
+  50: { process: "store-", about: "the longest sealed copy is about to bring the others to its end" },
   51: { process: "store-", about: "a request was opened and claimed, not yet delivered" },
   52: { process: "store-", about: "right before delivery" },
   53: { process: "store-", about: "a replica's piece came, not yet put" },
@@ -34,6 +43,8 @@
   61: { process: "control-", about: "a move's next fate is about to be put" },
   62: { process: "control-", about: "a move's fate was put" },
 };
+/** Points at which a copy joins a shard. */
+const joining = [48, 40, 39, 50, 49, 36, 38];
 const pick = <T>(fleet: SimFleet, from: T[]): T => from[Math.floor(fleet.world.random() * from.length)];
 const others = (fleet: SimFleet, program: string, but: string): string[] => fleet.names(program).filter((name) => name !== but);
 /** Moves that make points 13, 14, 31 to 62 be reached. */
@@ -105,18 +116,19 @@
   })),
   {
     name: "kill-at-point", about: "a process is killed at a numbered fault point (--point), and started again",
+    points: Object.keys(points).map(Number),
     run: async (fleet, point) => {
       const target = points[point];
       if (!target) throw new Error(`no fault point ${point}; known: ${Object.keys(points).join(" ")}`);
       let victim = "";
-      const hits = target.process === "store-" && ![13, 14, 43, 44, 48].includes(point) ? 1 + Math.floor(fleet.world.random() * 6) : 1;
+      const hits = target.process === "store-" && ![13, 14, 43, 44, 48, 49, 50].includes(point) ? 1 + Math.floor(fleet.world.random() * 6) : 1;
       fleet.world.arm(target.process, point, hits, (process) => {
         victim = process.name;
         fleet.fault(`kill ${victim} at point ${point}`, true);
         fleet.kill(victim);
       });
       // what makes the rarer points be reached
-      const nudge = [13, 14].includes(point) ? "long" : [31, 32, 34].includes(point) ? "election" : [38, 39, 43, 44, 48].includes(point) ? "views" : "";
+      const nudge = [13, 14].includes(point) ? "long" : [31, 32, 34].includes(point) ? "election" : [36, 38, 39, 40, 43, 44, 48, 49, 50].includes(point) ? "views" : "";
       if (nudge === "election") {
         const lead = fleet.controlLead();
         fleet.kill(lead);
@@ -446,6 +458,37 @@
       await fleet.run(15_000);
     },
   },
+  {
+    name: "join-and-lose", about: "while a copy joins (by retirement or a machine added), every other member is lost (--point)", points: joining,
+    run: async (fleet, point) => {
+      let lost: { name: string; disk: boolean }[] = [];
+      const after = point === 38 || point === 44; // from then on the joined copy must do alone
+      fleet.callers.load = 2;
+      fleet.world.arm(points[point].process, point, 1, function lose(_process, about): void {
+        if (!about || about.joiners.length === 0) return fleet.world.arm(points[point].process, point, 1, lose);
+        const others = fleet.views()[about.shard].members.filter((id) => !about.joiners.includes(id)).flatMap((id) => fleet.storeOf.get(id) ?? []);
+        lost = others.map((name, at) => ({ name, disk: after || at < others.length - 1 }));
+        fleet.fault(`lost at point ${point}: ${lost.map(({ name, disk }) => `${name}${disk ? " with its disk" : ""}`).join(", ")}`, false);
+        for (const { name, disk } of lost) {
+          fleet.kill(name, true);
+          if (disk) fleet.wipe(name);
+        }
+      });
+      if (fleet.seed % 2 === 0) fleet.add("store", "store-9");
+      else {
+        const name = fleet.busiestStore();
+        const id = [...fleet.storeOf].find(([, store]) => store === name)![0];
+        fleet.notes.push(`retire: ${await fleet.move({ kind: "retire", store: id }, 1500)}`);
+      }
+      for (let waited = 0; lost.length === 0 && waited < 40; waited += 1) await fleet.run(500);
+      fleet.world.disarm();
+      if (lost.length === 0) throw new Error(`nothing joined at point ${point}`);
+      await fleet.run(6000);
+      fleet.fault("lost machines come back", true);
+      for (const { name } of lost) fleet.restart(name);
+      await fleet.run(20_000);
+    },
+  },
   {
     name: "drain-in-crowd", about: "a district is drained during a crowd, and comes back",
     run: async (fleet) => {
--- a/src/sim/simDisk.ts
+++ b/src/sim/simDisk.ts
@@ -38,6 +38,10 @@
     this.failing = false;
     this.full = false;
   }
+  /** The synced files below a folder, by name. @example disk.under("data/store-1/shard-3").get("slot-a") */
+  under(folder: string): Map<string, Buffer> {
+    return new Map([...this.files].filter(([path]) => path.startsWith(`${folder}/`)).map(([path, data]) => [path.slice(folder.length + 1), data]));
+  }
   /** Turns bits of a file. @example disk.damage((path) => path.endsWith("slot-a")) */
   damage(which: (path: string) => boolean): string[] {
     const hit: string[] = [];
--- a/src/sim/simFleet.ts
+++ b/src/sim/simFleet.ts
@@ -1,10 +1,13 @@
 import { Daemon, Running } from "../core/daemon";
 import { Csp, Task } from "../csp/csp";
 import { EnvTools } from "../env/env";
+import { TwoSlots } from "../env/twoSlots";
+import { View } from "../control/controlState";
+import { ShardCopy } from "../shard/shardCopy";
 import { Callers } from "../tools/callers";
 import { CheckOptions, Checker, Violation } from "../tools/checker";
 import { Deployment, Plan, ProcessPlan } from "../tools/deployment";
-import { History } from "../tools/history";
+import { History, Place } from "../tools/history";
 import { ReplicaSettings, StandInReplica } from "../tools/standIns";
 import { SimDisk } from "./simDisk";
 import { SimProcess, SimWorld } from "./simWorld";
@@ -50,7 +53,14 @@
   ) {
     this.world = new SimWorld(seed, log);
     this.plan = Deployment.plan(deployment, 30_000, "data");
+    this.world.watch = (process, point) => {
+      if (point === 47) this.noteAcknowledged(process.name);
+      if (point === 38) this.lookAtDisks();
+    };
   }
+  /** Store members by id, as long as they hold the disk they were born on. */
+  readonly storeOf = new Map<string, string>();
+  private acknowledged = new Map<number, Place>();
   wall = (): number => 1_790_000_000_000 + this.world.now;
   /** @example await fleet.run(5000); */
   run = (ms: number): Promise<void> => this.world.run(ms);
@@ -119,6 +129,48 @@
     });
   }
 
+  // ---------- what is on the disks ----------
+  private copiesOf(name: string): ShardCopy[] {
+    const copies = (this.running.get(name) as unknown as { copies?: Map<number, ShardCopy> } | undefined)?.copies;
+    return copies ? [...copies.values()] : [];
+  }
+  /** What a lead has answered stands on every copy: its last applied entry. */
+  private noteAcknowledged(name: string): void {
+    for (const copy of this.copiesOf(name)) {
+      if (copy.role !== "lead") continue;
+      const known = this.acknowledged.get(copy.shard);
+      const place = { epoch: copy.appliedEpoch, seq: copy.applied };
+      if (!known || place.epoch > known.epoch || (place.epoch === known.epoch && place.seq > known.seq)) this.acknowledged.set(copy.shard, place);
+    }
+  }
+  /** The views that the control log holds, by the member that has applied most of it. @example fleet.views()["3"].members */
+  views(): Record<string, View> {
+    type Control = { group?: { applied: number; state: { views: Record<string, View> } } };
+    const groups = this.names("control").flatMap((name) => (this.running.get(name) as unknown as Control | undefined)?.group ?? []);
+    return groups.sort((left, right) => right.applied - left.applied)[0]?.state.views ?? {};
+  }
+  /** How far the synced log of a copy goes. */
+  private lastOnDisk(name: string, shard: number): Place {
+    const files = this.disks.get(name)!.under(`data/${name}/shard-${shard}`);
+    const { state, records } = TwoSlots.peek((each) => files.get(each), [...files.keys()]);
+    for (const record of records.reverse()) {
+      const read = JSON.parse(record.toString("utf8"));
+      if (read.tag === "entry") return { epoch: read.entry.epoch, seq: read.entry.seq };
+    }
+    const saved = state ? JSON.parse(state.toString("utf8")) : { lastEpoch: 0, seq: 0 };
+    return { epoch: saved.lastEpoch, seq: saved.seq };
+  }
+  /** Every member of every committed view holds what was acknowledged, as far as its disk was not taken from it. */
+  private lookAtDisks(): void {
+    for (const view of Object.values(this.views()))
+      for (const id of view.members) {
+        const name = this.storeOf.get(id);
+        const acknowledged = this.acknowledged.get(view.shard);
+        if (name && acknowledged)
+          this.history.add({ tag: "onDisk", at: this.wall(), shard: view.shard, epoch: view.epoch, member: name, stands: this.lastOnDisk(name, view.shard), acknowledged });
+      }
+  }
+
   // ---------- processes ----------
   private planOf(name: string): ProcessPlan {
     const found = this.plan.processes.find((each) => each.name === name);
@@ -135,7 +187,11 @@
     for (const window of this.windows) if (window.node === plan.settings.http && window.to === Infinity) window.to = this.wall() + 4000;
     Csp.go(process.scope, "main", function* () {
       const started = yield* Daemon.start(process.env, plan.settings);
-      if (started.ok) fleet.running.set(name, started.value);
+      if (started.ok) {
+        fleet.running.set(name, started.value);
+        const { node } = started.value as unknown as { node?: { self: { id: string } } };
+        if (node && plan.settings.program === "store") fleet.storeOf.set(node.self.id, name);
+      }
       else {
         fleet.notes.push(`${name} refused to start: ${started.fault.detail}`);
         fleet.world.kill(name);
@@ -158,13 +214,18 @@
   restart(name: string, how: { empty?: boolean; moved?: boolean } = {}): void {
     this.acts.push(`restart ${name} ${how.empty ? "empty" : ""}${how.moved ? " at a new address" : ""}`);
     this.restored(`${name} started again`);
-    if (how.empty) this.disks.get(name)?.wipe();
+    if (how.empty) this.wipe(name);
     if (how.moved) {
       const plan = this.planOf(name);
       plan.settings = { ...plan.settings, address: `127.0.0.1:${(this.nextPort += 1)}`, http: `127.0.0.1:${(this.nextPort += 1)}` };
     }
     this.start(name);
   }
+  /** The disk is gone, and with it the member that stood on it. @example fleet.wipe("store-1"); */
+  wipe(name: string): void {
+    this.disks.get(name)?.wipe();
+    for (const [id, store] of this.storeOf) if (store === name) this.storeOf.delete(id);
+  }
   /** A machine that was not there before. @example fleet.add("store", "store-5"); */
   add(program: "store" | "control", name: string): void {
     const like = this.plan.processes.find((each) => each.settings.program === program)!;
@@ -352,6 +413,7 @@
       this.history.add({ tag: "ledger", at: this.wall(), ingress: address, stamps });
     }
     for (const name of this.world.processes.keys()) this.keepErrors(name);
+    this.lookAtDisks();
     const options: CheckOptions = {
       plannedOnly: this.plannedOnly, settledAt: this.settledAt,
       unreachable: (node, from, to) => this.windows.some((window) => window.node === node && window.from <= to && window.to >= from),
--- a/src/sim/simWorld.ts
+++ b/src/sim/simWorld.ts
@@ -1,5 +1,5 @@
 import { Chan, Csp, Scope } from "../csp/csp";
-import { DatagramSocket, Env, HttpIn, HttpReply, Link, Timer } from "../env/env";
+import { About, DatagramSocket, Env, HttpIn, HttpReply, Link, Timer } from "../env/env";
 import { Fault, Result } from "../core/fault";
 import { Task } from "../csp/csp";
 import { SimDisk } from "./simDisk";
@@ -79,7 +79,7 @@
     for (const run of this.deferred.splice(0)) run();
   }
 }
-type Armed = { process: string; point: number; hits: number; act: (process: SimProcess) => void };
+type Armed = { process: string; point: number; hits: number; act: (process: SimProcess, about?: About) => void };
 type Exchange = { client: SimProcess; server: SimProcess; breakClient: () => void; breakServer: () => void };
 type Pair = { ends: [SimProcess, SimProcess]; close: () => void };
 
@@ -184,8 +184,10 @@
   hits(point: number): number {
     return [...this.processes.values()].reduce((sum, process) => sum + (process.pointHits.get(point) ?? 0), 0);
   }
+  /** Told of every point as it is reached. */
+  watch: (process: SimProcess, point: number) => void = () => undefined;
   /** Does something the next time processes with the prefix reach a point. @example world.arm("store-", 41, 1, (p) => world.kill(p.name)); */
-  arm(process: string, point: number, hits: number, act: (process: SimProcess) => void): void {
+  arm(process: string, point: number, hits: number, act: (process: SimProcess, about?: About) => void): void {
     this.armed.push({ process, point, hits, act });
   }
   disarm(): number {
@@ -193,12 +195,13 @@
     this.armed = [];
     return left;
   }
-  private reached(process: SimProcess, point: number): void {
+  private reached(process: SimProcess, point: number, about?: About): void {
+    this.watch(process, point);
     process.pointHits.set(point, (process.pointHits.get(point) ?? 0) + 1);
     for (const armed of this.armed)
       if (armed.point === point && process.name.startsWith(armed.process) && (armed.hits -= 1) <= 0) {
         this.armed = this.armed.filter((each) => each !== armed);
-        armed.act(process);
+        armed.act(process, about);
         if (!process.alive) throw new Killed(`killed at point ${point}`);
         return;
       }
@@ -419,7 +422,7 @@
           });
         return (yield* Csp.take(done))!.value;
       },
-      point: (number) => world.reached(process, number),
+      point: (number, about) => world.reached(process, number, about),
       log: (event, fields) => {
         const line = `${world.now.toFixed(1)} ${process.name} PB${event} ${fields ? JSON.stringify(fields) : ""}`;
         if (event === 1004) process.errors.push(line);
--- a/src/store/storeNode.ts
+++ b/src/store/storeNode.ts
@@ -117,10 +117,12 @@
     on("shard.replicate", (copy, body) => copy.onReplicate(body));
     on("shard.seal", (copy, body) => copy.onSeal(body));
     on("shard.install", (copy, body) => copy.onInstall(body));
+    on("shard.level", (copy, body) => copy.onLevel(body));
+    on("shard.catchUp", (copy, body) => copy.onCatchUp(body));
     on("shard.whole", (copy, body) => copy.onWhole(body));
     on("shard.digest", (copy, body) => copy.onDigest(body));
     on("shard.mend", (copy, body) => copy.onMend(body));
-    on("shard.fill", (copy, body) => copy.fill(body.target));
+    on("shard.fill", (copy, body) => copy.fill(body.target, body.address));
     on("shard.position", function* (copy) {
       return Fault.ok({ exists: copy.exists, seq: copy.seq, lastEpoch: copy.lastEpoch });
     });
--- a/src/tools/checker.ts
+++ b/src/tools/checker.ts
@@ -79,6 +79,15 @@
       ...history.of("lotReread").filter((seen) => !seen.complete).map((seen) => `lot ${seen.lot} could not be read whole at ${seen.ingress}`),
     ],
   },
+  {
+    name: "acknowledged-on-every-member", sentence: "An acknowledged put is on the synced disk of every member of the committed view",
+    check: (history) =>
+      history
+        .of("onDisk")
+        .filter(({ stands, acknowledged }) => stands.epoch < acknowledged.epoch || (stands.epoch === acknowledged.epoch && stands.seq < acknowledged.seq))
+        .map((seen) => `shard ${seen.shard}, view ${seen.epoch}: ${seen.member} holds ${seen.stands.seq} of epoch ${seen.stands.epoch}, acknowledged was ${seen.acknowledged.seq} of ${seen.acknowledged.epoch}`)
+        .slice(0, 5),
+  },
   {
     name: "lot-readable", sentence: "Within about a second its results can be read at every node",
     check: (history, _replicas, options) => {
--- a/src/tools/history.ts
+++ b/src/tools/history.ts
@@ -1,3 +1,5 @@
+/** How far a log goes: the epoch of its last entry, and that entry's number. */
+export type Place = { epoch: number; seq: number };
 /** What callers, operators and the campaign saw, in the order they saw it. Times are the observer's wall clock, ms. */
 export type Seen =
   | { tag: "lookup"; at: number; tookMs: number; status: number; mine: boolean; ingress: string }
@@ -24,6 +26,7 @@
   | { tag: "served"; at: number; kind: "lookup" | "stream" | "lot" }
   | { tag: "replicaStarted"; at: number; replica: string; capacity: number }
   | { tag: "ledger"; at: number; ingress: string; stamps: string[] }
+  | { tag: "onDisk"; at: number; shard: number; epoch: number; member: string; stands: Place; acknowledged: Place }
   | { tag: "stopped"; at: number; process: string; unanswered: number };
 
 /**
--- a/test/checker.test.ts
+++ b/test/checker.test.ts
@@ -1,5 +1,5 @@
 import { Checker, CheckOptions, ReplicaSeen } from "../src/tools/checker";
-import { History, Seen } from "../src/tools/history";
+import { History, Place, Seen } from "../src/tools/history";
 
 const replica = (id: string, runs: [string, number][], district = "north"): ReplicaSeen => ({
   settings: { id, district },
@@ -16,6 +16,7 @@
   for (let at = from; at <= to; at += 500) all.push(served(at, "lookup"), served(at, "stream"), served(at, "lot"));
   return all;
 };
+const onDisk = (stands: Place, acknowledged: Place): Seen => ({ tag: "onDisk", at: 1, shard: 0, epoch: 4, member: "store-a", stands, acknowledged });
 const ledger = (ingress: string, stamps: string[]): Seen => ({ tag: "ledger", at: 1, ingress, stamps });
 
 /** For every invariant: a history that breaks it, and one close by that does not. */
@@ -32,6 +33,10 @@
     good: { seen: [{ tag: "streamEnd", stream: 1, at: 1, tookMs: 1, firstMs: 1, pieces: 3, wanted: 3, resumes: 1, binding: "ask" }] },
   },
   "lot-kept": { bad: { seen: [{ tag: "lotReread", lot: "L", at: 1, ingress: "i", order: "", complete: false }] }, good: { seen: [{ tag: "lotReread", lot: "L", at: 1, ingress: "i", order: "", complete: true }] } },
+  "acknowledged-on-every-member": {
+    bad: { seen: [onDisk({ epoch: 3, seq: 9 }, { epoch: 3, seq: 10 })] },
+    good: { seen: [onDisk({ epoch: 4, seq: 9 }, { epoch: 3, seq: 10 }), onDisk({ epoch: 3, seq: 10 }, { epoch: 3, seq: 10 })] },
+  },
   "lot-readable": { bad: { seen: [{ tag: "lotReadable", lot: "L", ingress: "i", at: 5000, afterMs: 1600 }] }, good: { seen: [{ tag: "lotReadable", lot: "L", ingress: "i", at: 5000, afterMs: 900 }] } },
   "one-position": {
     bad: { seen: [result(1, 0), { tag: "lotReread", lot: "L", at: 2, ingress: "j", order: "1,0", complete: true }], replicas: [replica("r", [["L/0", 1]])] },
--- a/test/simSuite.ts
+++ b/test/simSuite.ts
@@ -12,12 +12,11 @@
   { scenario: "kill-at-point", seed: 3, point: 21 },
   { scenario: "ingress-deaf", seed: 6, point: 0 },
   { scenario: "ingress-deaf", seed: 1, point: 0 },
+  { scenario: "join-and-lose", seed: 6, point: 38 },
 ];
 const cases: Case[] = [
   ...Scenarios.all.flatMap((scenario): Case[] =>
-    scenario.name === "kill-at-point"
-      ? Object.keys(Scenarios.points).map((point) => ({ scenario: scenario.name, seed: 1, point: +point }))
-      : [{ scenario: scenario.name, seed: 1, point: 0 }]),
+    (scenario.points ?? [0]).map((point) => ({ scenario: scenario.name, seed: 1, point }))),
   ...regressions,
 ];
 
