--- a/src/adapters/callerHttp.ts
+++ b/src/adapters/callerHttp.ts
@@ -63,7 +63,7 @@
         const read: Result<any> = yield* ingress.read(id, after, 800, Math.max(1000, Math.min(Constants.streamPatienceMs, untilMono - env.mono())));
         if (!read.ok) {
           if (read.fault.tag === "notFound" && notFoundIsBusy) return fail({ tag: "unknown", step: "read", member: read.fault.member, detail: read.fault.detail });
-          return fail(read.fault, read.fault.tag === "notFound" ? 404 : 504);
+          return fail(read.fault, read.fault.tag === "notFound" ? 404 : read.fault.tag === "gone" ? 410 : 504);
         }
         for (const piece of read.value.pieces) {
           if (piece.n !== after + 1) return fail({ tag: "internal", step: "relay", member: ingress.id, detail: `piece ${piece.n} after ${after}` });
@@ -130,6 +130,7 @@
           if (opened.fault.tag === "busy") ingress.note(`request ${id}`, `refused as busy: ${opened.fault.detail}`, accepted.value.cause);
           return Http.problem(incoming, opened.fault, undefined, { requestId: id });
         }
+        if (opened.value.tag === "exists" && opened.value.state === "trimmed") return Http.problem(incoming, { tag: "gone", step: "open", member: ingress.id, detail: "the idempotency key was used, and its reply trimmed by retention" });
         if (opened.value.tag === "exists" && !opened.value.same && opened.value.state !== "refused")
           return Http.problem(incoming, { tag: "conflict", step: "open", member: ingress.id, detail: "the idempotency key was used with another body" }, 422);
         if (binding.kind === "stream") yield* relay(incoming, id, 0, untilMono, true);
@@ -169,12 +170,13 @@
         const lost = done.fault.tag !== "busy" && done.fault.tag !== "unknown";
         return Http.problem(incoming, lost ? { tag: "busy", step: "accept lot", member: done.fault.member, detail: done.fault.detail, retryAfterMs: 2 * Constants.retryAfterMs } : done.fault, undefined, { lot: id });
       }
+      if (done.value.tag === "exists" && done.value.state === "trimmed") return Http.problem(incoming, { tag: "gone", step: "accept lot", member: ingress.id, detail: "the lot was done, and its results trimmed by retention" });
       if (done.value.tag === "exists" && !done.value.same) return Http.problem(incoming, { tag: "conflict", step: "accept lot", member: ingress.id, detail: "the lot id was used with other items" }, 422);
       Http.json(incoming, done.value.tag === "exists" ? 200 : 202, { id, items: bodies.length });
     };
     const askLot = function* (verb: string, id: string, body: () => Record<string, unknown>): Task<Result<any>> {
       const done: Result<any> = yield* ingress.putter.askLead(ingress.putter.shardOf(id), verb, () => ({ id, ...body() }), 5000);
-      if (done.ok || done.fault.tag === "notFound" || done.fault.tag === "busy" || done.fault.tag === "unknown") return done;
+      if (done.ok || done.fault.tag === "notFound" || done.fault.tag === "gone" || done.fault.tag === "busy" || done.fault.tag === "unknown") return done;
       return Fault.busy(done.fault.step, done.fault.member, done.fault.detail, Constants.retryAfterMs);
     };
     const number = (incoming: HttpIn, name: string, otherwise: number, most: number): number | undefined => {
--- a/src/adapters/http.ts
+++ b/src/adapters/http.ts
@@ -3,7 +3,7 @@
 import { Fault, Result } from "../core/fault";
 
 const statuses: Record<Fault["tag"], number> = {
-  timeout: 504, refused: 503, broken: 504, busy: 503, late: 503, notLead: 503, invalid: 400, conflict: 412, notFound: 404, unknown: 504, disk: 500, internal: 500,
+  timeout: 504, refused: 503, broken: 504, busy: 503, late: 503, notLead: 503, invalid: 400, conflict: 412, notFound: 404, unknown: 504, gone: 410, disk: 500, internal: 500,
 };
 export type Route = { method: string; path: RegExp; run: (incoming: HttpIn, parts: string[]) => Task<void> };
 
--- a/src/adapters/operatorSchemas.ts
+++ b/src/adapters/operatorSchemas.ts
@@ -5,6 +5,7 @@
 import { Announcement } from "../core/host";
 
 const name = { type: "string", pattern: "^[A-Za-z0-9._-]{1,80}$" };
+const age = { type: "integer", minimum: 1 };
 const manifestSchema = {
   type: "object", additionalProperties: false, required: ["bindings"],
   properties: {
@@ -19,6 +20,9 @@
         },
       },
     },
+    retention: {
+      type: "object", additionalProperties: false, properties: { lotsMs: age, requestsMs: age, ledgerMs: age },
+    },
     clock: {
       type: "object", additionalProperties: false, required: ["deltaMs", "epsilonMs", "bigDeltaMs"],
       properties: {
@@ -96,12 +100,24 @@
  * if (!checked.ok) Http.problem(incoming, checked.fault);
  */
 export const OperatorSchemas = {
-  manifest: (candidate: unknown): Result<Manifest> => run(compiled.manifest, "manifest", candidate),
+  /** Retention may not be shorter than the longest deadline: a repeat within it must find its reply. @example OperatorSchemas.manifest(doc) */
+  manifest(candidate: unknown): Result<Manifest> {
+    const checked = run<Manifest>(compiled.manifest, "manifest", candidate);
+    if (!checked.ok) return checked;
+    const longest = Math.max(0, ...Object.values(checked.value.bindings).map((binding) => binding.deadlineMs));
+    const short = Object.entries(checked.value.retention ?? {}).filter(([, keepMs]) => keepMs < longest);
+    if (short.length === 0) return checked;
+    const paths = short.map(([setting]) => `/retention/${setting}: must not be shorter than the longest deadline, ${longest}`);
+    return { ok: false, fault: { tag: "invalid", step: "check manifest", member: "operator", detail: "manifest is wrong", paths } };
+  },
   policies: (candidate: unknown): Result<PolicyLine[]> => run(compiled.policies, "policies", candidate),
   /** Due becomes milliseconds; "now" is now. @example OperatorSchemas.calendar({ due: "now", move }, Date.now()) */
   calendar(candidate: unknown, now: number): Result<{ due: number; move: Move }> {
     const checked = run<{ due: string; move: Move }>(compiled.calendar, "calendar entry", candidate);
     if (!checked.ok) return checked;
+    const { move: planned } = checked.value;
+    const manifest = planned.kind === "manifest" ? OperatorSchemas.manifest(planned.doc) : checked;
+    if (!manifest.ok) return manifest;
     const due = checked.value.due === "now" ? now : Date.parse(checked.value.due);
     if (!Number.isFinite(due)) return { ok: false, fault: { tag: "invalid", step: "check calendar entry", member: "operator", detail: "calendar entry is wrong", paths: ['/due: must be a date and time, or "now"'] } };
     return Fault.ok({ due, move: checked.value.move });
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -64,16 +64,22 @@
   statusPeriodMs: 400, // ms; control lead looks at every store
   viewSettleMs: 2500, // ms; the first views wait this long for stores to be found
   shardLogKeep: 500, // entries; log is folded into a slot past this length
+  shardLogBytes: 4_194_304, // bytes; or past this size, so that a start reads no more than two such logs
   putBatch: 256, // puts; ordered and synced together
   shardBufferPuts: 2048, // puts; waiting for order; past this, busy
   rangeBuckets: 16, // ranges; compared by digest
   diskReserveBytes: 67_108_864, // bytes; below this free, nothing new is accepted; what was accepted can finish
   fillEntries: 200, // entries; in one catch-up message
   repairPeriodMs: 10_000, // ms; copies of a shard are compared
-  retentionLots: 1000, // finished lots a shard keeps
-  retentionLedger: 10_000, // ledger entries a shard keeps
-  retentionRequests: 2000, // finished requests and streams a shard keeps, for resume and keys
-  putIdsKept: 10_000, // put ids a shard remembers, to drop repeats
+  segmentObjects: { works: 256, lots: 64, ledger: 1024 }, // objects; in one segment: a few hundred KB, so that writing one takes a few ms
+  simSegmentObjects: { works: 5, lots: 1, ledger: 48 }, // objects; the same in the simulator, so that half a minute of work seals, fills and reads segments
+  segmentBitsPerSubject: 12, // bits; of a ledger segment's filter: about one false hit in two hundred
+  putIdKeepMs: 30_000, // ms; past the stamp or deadline of a put; nobody asks again under its id for longer than 20 s
+  refusalKeepMs: 700_000, // ms; a refusal outlives the longest deadline, and with it every late open of its request
+  fillAskMs: 6000, // ms; control asks a copy being filled anew after this long
+  aboutEntriesMax: 2000, // entries; sealed ones told about one subject of a shard
+  fillPieceBytes: 1_048_576, // bytes; of a segment in one message
+  fillBytesPerSecond: 16_777_216, // bytes a second; a copy being filled takes no more from its source, so that live traffic keeps the disk
   lateRounds: 8, // rounds; a late put is stamped anew at most this often
 
   // --- callers ---
--- a/src/control/controlNode.ts
+++ b/src/control/controlNode.ts
@@ -173,7 +173,7 @@
       if (untold.length === 0 || Object.keys(this.group.state.views).length < Constants.shardCount) continue;
       let upTo = 0;
       for (const decision of untold) {
-        const told = yield* this.putter.put(this.putter.shardOf(decision.subject), `control-${decision.index}`, [{ op: "note", entries: [{ subject: decision.subject, decision: decision.decision, cause: { note: decision.cause } }] }], {}, 5000);
+        const told = yield* this.putter.put(this.putter.shardOf(decision.subject), `control-${decision.index}`, [{ op: "note", entries: [{ subject: decision.subject, decision: decision.decision, cause: { note: decision.cause } }], once: { source: "control", index: decision.index } }], {}, 5000);
         if (!told.ok) break;
         upTo = decision.index;
       }
--- a/src/control/controlState.ts
+++ b/src/control/controlState.ts
@@ -9,7 +9,11 @@
   continues: "exact" | "no"; // whether a replica can go on exactly after given pieces
   prefixBytes: number; // how much of the prompt decides affinity
 };
-export type Manifest = { bindings: Record<string, Binding>; clock?: { deltaMs: number; epsilonMs: number; bigDeltaMs: number } };
+export type Manifest = {
+  bindings: Record<string, Binding>;
+  clock?: { deltaMs: number; epsilonMs: number; bigDeltaMs: number };
+  retention?: { lotsMs?: number; requestsMs?: number; ledgerMs?: number }; // none: kept for good
+};
 export type PolicyLine = {
   match: { binding?: string; kind?: Binding["kind"]; caller?: string };
   order?: number; // who goes first: lower before higher
--- a/src/control/views.ts
+++ b/src/control/views.ts
@@ -252,7 +252,8 @@
     const view = this.group.state.views[shard];
     const lead = this.node.addressOf(view.lead);
     if (!lead) return;
-    const filled = yield* this.node.rpc.ask(lead, "shard.fill", { shard, target: target.id, address: target.address }, 6000);
+    // it may take long: the copy goes on by itself, and is asked again whether it is there
+    const filled = yield* this.node.rpc.ask(target.address, "shard.fill", { shard, from: lead }, Constants.fillAskMs);
     if (!filled.ok || filled.value.tag !== "ok" || !this.group.holdsLead() || this.group.state.views[shard].epoch !== view.epoch) return;
     this.env.point(40, { shard, joiners: [target.id] });
     yield* this.reconfigure(shard, `${reason}: ${target.id} filled`, [target.id]);
--- a/src/core/events.ts
+++ b/src/core/events.ts
@@ -36,6 +36,7 @@
   1410: { level: "warn", text: "slot unreadable, other slot used", act: "look at the disk" },
   1411: { level: "info", text: "lead started", act: "nothing to do" },
   1412: { level: "warn", text: "lead stopped", act: "nothing, unless it repeats" },
+  1413: { level: "warn", text: "segment damaged; fetched anew from another copy", act: "look at the disk of the named store" },
   1501: { level: "info", text: "move started", act: "nothing to do" },
   1502: { level: "info", text: "move finished", act: "nothing to do" },
   1503: { level: "warn", text: "move failed", act: "read the reason; write a new entry" },
--- a/src/core/fault.ts
+++ b/src/core/fault.ts
@@ -10,6 +10,7 @@
   | { tag: "conflict"; step: string; member: string; detail: string }
   | { tag: "notFound"; step: string; member: string; detail: string }
   | { tag: "unknown"; step: string; member: string; detail: string } // fate not known; never called success
+  | { tag: "gone"; step: string; member: string; detail: string } // was kept, and trimmed by an operator's retention
   | { tag: "disk"; step: string; member: string; detail: string }
   | { tag: "internal"; step: string; member: string; detail: string };
 
--- a/src/env/twoSlots.ts
+++ b/src/env/twoSlots.ts
@@ -4,8 +4,8 @@
 import { Env } from "./env";
 
 type Opened = { state: unknown; records: unknown[] };
-const recordMagic = 0x50425245;
-const slotMagic = 0x50425331;
+/** By the format of what is kept: "PBRE" and "PBS1" of the first, "PBR2" and "PBS2" of the second. */
+const magics: Record<number, { record: number; slot: number }> = { 1: { record: 0x50425245, slot: 0x50425331 }, 2: { record: 0x50425232, slot: 0x50425332 } };
 const checksum = crc32 as (data: Buffer) => number;
 
 function frame(magic: number, number: number, body: Buffer): Buffer {
@@ -44,23 +44,31 @@
   private started = false; // whether the current log's file stands, with its folder synced
   broken = false;
   syncs = 0;
+  logBytes = 0; // of the log since the last slot
   constructor(
     private readonly env: Env,
     private readonly folder: string,
+    private readonly format = 1,
   ) {}
+  /** Another format's file is refused by name, never cut or overwritten. */
+  private foreign(file: string, data: Buffer): Result<never> | undefined {
+    const found = data.length >= 4 ? Object.entries(magics).find(([, magic]) => [magic.record, magic.slot].includes(data.readUInt32BE(0))) : undefined;
+    if (!found || +found[0] === this.format) return undefined;
+    return Fault.fail("disk", "open", this.env.name, `${file} has format ${found[0]}; this version reads format ${this.format}`);
+  }
   private slotFile = (generation: number): string => `${this.folder}/slot-${generation % 2 === 0 ? "a" : "b"}`;
   private logFile = (generation: number): string => `${this.folder}/log-${generation}`;
 
-  /** What a disk holds synced, as a start would find it, without touching it. @example TwoSlots.peek((name) => files.get(name), names) */
-  static peek(read: (name: string) => Buffer | undefined, names: string[]): { state: Buffer | undefined; records: Buffer[] } {
+  /** What a disk holds synced, as a start would find it, without touching it. @example TwoSlots.peek((name) => files.get(name), names, 2) */
+  static peek(read: (name: string) => Buffer | undefined, names: string[], format = 1): { state: Buffer | undefined; records: Buffer[] } {
     const slots = names.flatMap((name) => {
-      const whole = name.startsWith("slot-") ? unframe(slotMagic, read(name) ?? Buffer.alloc(0), 0) : undefined;
+      const whole = name.startsWith("slot-") ? unframe(magics[format].slot, read(name) ?? Buffer.alloc(0), 0) : undefined;
       return whole ? [whole] : [];
     });
     slots.sort((left, right) => right.number - left.number);
     const base = slots[0]?.number ?? 0;
     const logs = names.filter((name) => /^log-\d+$/.test(name) && +name.slice(4) >= base).sort((left, right) => +left.slice(4) - +right.slice(4));
-    return { state: slots[0]?.body, records: logs.flatMap((name) => [...frames(recordMagic, read(name) ?? Buffer.alloc(0))].map((each) => each.body)) };
+    return { state: slots[0]?.body, records: logs.flatMap((name) => [...frames(magics[format].record, read(name) ?? Buffer.alloc(0))].map((each) => each.body)) };
   }
   /** What was last written: the newest whole slot and every record since. @example yield* slots.open() */
   *open(): Task<Result<Opened>> {
@@ -72,7 +80,9 @@
     for (const name of ["slot-a", "slot-b"].filter((slot) => names.value.includes(slot))) {
       const data = yield* this.env.disk.read(`${this.folder}/${name}`);
       if (!data.ok) return data;
-      const read = data.value && unframe(slotMagic, data.value, 0);
+      const foreign = data.value && this.foreign(`${this.folder}/${name}`, data.value);
+      if (foreign) return foreign;
+      const read = data.value && unframe(magics[this.format].slot, data.value, 0);
       if (read) slots.push({ generation: read.number, state: JSON.parse(read.body.toString("utf8")) });
       else damaged.push(`${this.folder}/${name}`);
     }
@@ -94,15 +104,17 @@
       const data = yield* this.env.disk.read(file);
       if (!data.ok) return data;
       const bytes = data.value ?? Buffer.alloc(0);
+      const foreign = this.foreign(file, bytes);
+      if (foreign) return foreign;
       let at = 0;
-      for (const read of frames(recordMagic, bytes)) {
+      for (const read of frames(magics[this.format].record, bytes)) {
         records.push(JSON.parse(read.body.toString("utf8")));
         at = read.end;
       }
       if (at < bytes.length) {
         // a torn tail has nothing whole behind it; anything else is damage
         for (let later = at + 1; later + 16 <= bytes.length; later += 1)
-          if (unframe(recordMagic, bytes, later))
+          if (unframe(magics[this.format].record, bytes, later))
             return Fault.fail("disk", "open", this.env.name, `${file} is damaged at byte ${at}`);
         this.env.log(1409, { file, bytes: bytes.length - at });
         const cut = yield* this.env.disk.truncate(file, at);
@@ -117,11 +129,12 @@
   /** On disk when this returns ok. @example yield* slots.append([record]) */
   *append(records: unknown[]): Task<Result<true>> {
     if (this.broken) return Fault.fail("disk", "append", this.env.name, "an earlier write failed");
-    const framed = Buffer.concat(records.map((record) => frame(recordMagic, 0, Buffer.from(JSON.stringify(record), "utf8"))));
+    const framed = Buffer.concat(records.map((record) => frame(magics[this.format].record, 0, Buffer.from(JSON.stringify(record), "utf8"))));
     this.env.point(11);
     const file = this.logFile(this.generation);
     const done = this.started ? yield* this.env.disk.append(file, framed) : yield* this.env.disk.write(file, framed);
     this.started = true;
+    this.logBytes += framed.length;
     this.syncs += 1;
     if (!done.ok) this.broken = true;
     this.env.point(12);
@@ -133,7 +146,7 @@
     if (this.broken) return Fault.fail("disk", "rotate", this.env.name, "an earlier write failed");
     const next = this.generation + 1;
     const body = Buffer.from(JSON.stringify(state), "utf8");
-    const written = yield* this.env.disk.write(this.slotFile(next), frame(slotMagic, next, body));
+    const written = yield* this.env.disk.write(this.slotFile(next), frame(magics[this.format].slot, next, body));
     this.env.point(13);
     const started: Result<true> = written.ok ? yield* this.env.disk.write(this.logFile(next), Buffer.alloc(0)) : written;
     if (!started.ok) {
@@ -141,6 +154,7 @@
       return started;
     }
     const old = next - 2;
+    this.logBytes = 0;
     this.generation = next;
     this.started = true;
     this.env.point(14);
--- a/src/ingress/ingressNode.ts
+++ b/src/ingress/ingressNode.ts
@@ -299,7 +299,7 @@
         const address = this.current.members.find((each) => each.id === member)?.address;
         if (!address) continue;
         last = yield* this.rpc.ask(address, "lot.results", { shard, id, after, limit, waitMs }, waitMs + 700);
-        if (last.ok || last.fault.tag === "notFound") return last;
+        if (last.ok || last.fault.tag === "notFound" || last.fault.tag === "gone") return last;
       }
       yield* EnvTools.sleep(this.env, 100);
     }
--- a/src/shard/shardCopy.ts
+++ b/src/shard/shardCopy.ts
@@ -7,12 +7,13 @@
 import { Bounds, Stamp } from "../core/stamp";
 import { Rpc } from "../wire/rpc";
 import { View } from "../control/controlState";
-import { Lot, Put, PutOutcome, ShardData, ShardState, Work } from "./shardState";
+import { SegmentCounts, SegmentKind, Segments } from "./segments";
+import { FrozenShard, Lot, Put, PutOutcome, ShardData, ShardState, Work } from "./shardState";
 
 /* eslint-disable @typescript-eslint/no-explicit-any */
 export type Entry = { seq: number; epoch: number; frontier: number; puts: Put[] };
 type Noted = { tag: "entry"; entry: Entry } | { tag: "seal"; epoch: number } | { tag: "view"; view: View };
-type Saved = { seq: number; lastEpoch: number; sealed: number; view: View | null; data: ShardData };
+type Saved = { seq: number; lastEpoch: number; sealed: number; view: View | null; data: FrozenShard };
 type Pending = { put: Put; reply: Chan<Result<PutOutcome>>; enqueuedAt: number };
 export type CopyStatus = {
   shard: number; epoch: number; sealed: number; role: "member" | "starting" | "lead" | "out"; seq: number; lastEpoch: number;
@@ -33,7 +34,7 @@
  * is needed to keep serving, and one sealed member is enough to end it.
  *
  * @example
- * const copy = new ShardCopy(env, rpc, "node-1", 3, new TwoSlots(env, "data/shard-3"), hooks);
+ * const copy = new ShardCopy(env, rpc, "node-1", 3, "data/shard-3", hooks);
  * yield* copy.open();
  * const outcome = yield* copy.put({ putId, stamp, ops, cause: {} }, 2000);
  */
@@ -44,7 +45,8 @@
   lastEpoch = 0;
   applied = 0;
   appliedEpoch = 0;
-  data: ShardData = ShardState.empty();
+  data: ShardData;
+  readonly segments: Segments;
   role: CopyStatus["role"] = "out";
   exists = false;
   wantsView = "";
@@ -58,18 +60,28 @@
   private wake: Chan<true> = Csp.sliding(1);
   private token: Chan<true> = Csp.chan(1);
   private published = 0;
+  private readonly slots: TwoSlots;
+  private segmentWake: Chan<true> = Csp.sliding(1);
+  private filling = "";
+  private readers = new Set<Chan<true>>();
   private lowDisk = new Map<string, boolean>();
   private sinceFold = 0;
-  readonly counts = { puts: 0, batches: 0, late: 0, overruns: 0, mended: 0 };
+  readonly counts = { puts: 0, batches: 0, late: 0, overruns: 0, mended: 0, filledBytes: 0 };
 
   constructor(
     private readonly env: Env,
     private readonly rpc: Rpc,
     private readonly self: string,
     readonly shard: number,
-    private readonly slots: TwoSlots,
+    folder: string,
     private readonly hooks: CopyHooks,
   ) {
+    this.slots = new TwoSlots(env, folder, 2);
+    this.segments = new Segments(env, folder);
+    this.data = ShardState.empty(this.segments);
+    this.segments.trimmed = this.data.trimmed;
+    const copy = this;
+    EnvTools.keep(env, env.scope, `segments of shard ${shard}`, () => copy.segmentLoop());
     this.grantedUntil = env.mono() + Constants.shardGrantMs; // a restarted member may have granted just before
     Csp.offer(this.token, true);
   }
@@ -79,7 +91,10 @@
     const opened = yield* this.slots.open();
     if (!opened.ok) return opened;
     const saved = opened.value.state as Saved | undefined;
-    if (saved) this.take(saved);
+    if (saved) {
+      const taken = yield* this.take(saved);
+      if (!taken.ok) return taken;
+    }
     for (const noted of opened.value.records as Noted[]) {
       if (noted.tag === "seal") this.sealed = Math.max(this.sealed, noted.epoch);
       else if (noted.tag === "view") this.view = noted.view;
@@ -94,14 +109,32 @@
     }
     return Fault.ok(true as const);
   }
-  private take(saved: Saved): void {
+  /** Segments are written in the background: what is in them is in the slots until then. */
+  private *segmentLoop(): Task<void> {
+    for (;;) {
+      const [next] = this.data.sealing;
+      const { data } = this;
+      if (!next || this.slots.broken) {
+        if (!this.slots.broken) yield* this.segments.removeTrimmed();
+        yield* EnvTools.takeWithin(this.env, this.segmentWake, 5000);
+        continue;
+      }
+      const written = yield* this.segments.write(next);
+      if (!written.ok) this.breakDown(written.fault);
+      else if (this.data === data) data.sealing.shift();
+    }
+  }
+  private *take(saved: Saved): Task<Result<true>> {
+    const opened = yield* this.segments.open(saved.data.segments, saved.data.trimmed, saved.data.sealing);
+    if (!opened.ok) return opened;
     this.seq = this.applied = saved.seq;
     this.lastEpoch = this.appliedEpoch = saved.lastEpoch;
     this.sealed = Math.max(this.sealed, saved.sealed);
     this.view = saved.view ?? undefined;
-    this.data = saved.data;
+    this.data = ShardState.thaw(saved.data, this.segments);
     this.tail = [];
     this.exists = true;
+    return opened;
   }
   private remember(entries: Entry[]): void {
     for (const entry of entries) {
@@ -116,11 +149,14 @@
     const outcomes: PutOutcome[] = [];
     for (const entry of this.tail.slice(Math.max(0, this.tail.length - (this.seq - this.applied)))) {
       invariant(entry.seq === this.applied + 1, "entries are applied one after the other, none left out");
-      ShardState.advance(this.data, entry.frontier);
+      ShardState.tick(this.data, entry.frontier);
       for (const put of entry.puts) outcomes.push(ShardState.apply(this.data, put));
+      ShardState.seal(this.data);
       this.applied = entry.seq;
       this.appliedEpoch = entry.epoch;
     }
+    Csp.offer(this.segmentWake, true);
+    this.wakeReaders();
     return outcomes;
   }
   private epochAt(seq: number): number | undefined {
@@ -147,13 +183,14 @@
     this.stopLead("disk failed");
   }
   private *foldIfLong(): Task<void> {
-    if (this.sinceFold < Constants.shardLogKeep || this.applied !== this.seq) return;
+    const long = this.sinceFold >= Constants.shardLogKeep || this.slots.logBytes >= Constants.shardLogBytes;
+    if (!long || this.applied !== this.seq) return;
     this.sinceFold = 0;
     const done = yield* this.slots.rotate(this.saved());
     if (!done.ok) this.breakDown(done.fault);
   }
   private saved(): Saved {
-    return { seq: this.applied, lastEpoch: this.appliedEpoch, sealed: this.sealed, view: this.view ?? null, data: this.data };
+    return { seq: this.applied, lastEpoch: this.appliedEpoch, sealed: this.sealed, view: this.view ?? null, data: ShardState.freeze(this.data) };
   }
 
   // ---------- what others ask ----------
@@ -190,7 +227,7 @@
       copy.role = "member";
       copy.remember(fresh);
       copy.applyAll();
-      if (copy.applied >= body.stable && copy.epochAt(body.stable) !== undefined) ShardState.advance(copy.data, body.frontier);
+      if (copy.applied >= body.stable && copy.epochAt(body.stable) !== undefined) copy.moveFrontier(body.frontier);
       copy.grantedUntil = copy.env.mono() + Constants.shardGrantMs;
       yield* copy.foldIfLong();
       copy.env.point(42);
@@ -292,18 +329,11 @@
       const where: { tag: string; seq: number; lastEpoch: number } = replied.value;
       if (where.tag === "ok" && where.seq === this.seq && where.lastEpoch === this.lastEpoch) return true;
       if (where.tag !== "ok" && where.tag !== "behind") return false;
-      if (this.hasTailAfter(where)) from = where.seq;
-      else if (!(yield* this.sendWhole(address, epoch, until - this.env.mono()))) return false;
+      if (!this.goesOn(where)) return false; // it has to be filled first
+      from = where.seq;
     }
     return false;
   }
-  /** Whether a log that ends there can go on with entries of our tail. */
-  private hasTailAfter = (where: { seq: number; lastEpoch: number }): boolean =>
-    where.seq > 0 && where.seq <= this.seq && this.epochAt(where.seq) === where.lastEpoch && (where.seq === this.seq || (this.tail[0]?.seq ?? Infinity) <= where.seq + 1);
-  private *sendWhole(address: string, epoch: number, withinMs: number): Task<boolean> {
-    const whole = yield* this.rpc.ask(address, "shard.whole", { shard: this.shard, epoch, saved: this.saved() }, withinMs);
-    return whole.ok && whole.value.tag === "ok";
-  }
   /** A member of the next view takes the sealed end's last entries, and its seal. @example yield* copy.onCatchUp(body) */
   *onCatchUp(body: { epoch: number; prevSeq: number; prevEpoch: number; entries: Entry[] }): Task<Result<any>> {
     const copy = this;
@@ -325,31 +355,103 @@
       return Fault.ok({ tag: "ok", seq: copy.seq, lastEpoch: copy.lastEpoch });
     });
   }
-  /** Everything at once, for a copy too far behind. @example yield* copy.onWhole(body) */
-  *onWhole(body: { epoch: number; saved: Saved; join: boolean }): Task<Result<any>> {
+  /** What is open, all at once, for a copy being filled; what is closed for good comes as segments. @example yield* copy.onOpenState({ member: "store-9" }) */
+  *onOpenState(body: { member: string }): Task<Result<{ epoch: number; saved: Saved }>> {
+    if (!this.holdsGrant() || !this.view) return Fault.fail("notLead", "fill", this.self, "");
+    this.env.point(48, { shard: this.shard, joiners: [body.member] });
+    return Fault.ok({ epoch: this.view.epoch, saved: this.saved() });
+  }
+  /**
+   * Fills this copy out of the lead's, while puts go on there: segments first, in pieces, those that are here already
+   * left out; then what is open. It becomes a member only once a change of view has brought it to the sealed end.
+   * @example yield* copy.onFill({ from: "10.0.0.5:7000" })
+   */
+  *onFill(body: { from: string }): Task<Result<{ tag: "ok" | "underWay" }>> {
+    if (this.slots.broken) return Fault.fail("disk", "fill", this.self, "disk failed");
+    if (this.filling !== "") return Fault.ok({ tag: "underWay" });
+    this.filling = body.from;
+    try {
+      const where = yield* this.rpc.ask(body.from, "shard.goesOn", { shard: this.shard, seq: this.seq, lastEpoch: this.lastEpoch }, 500);
+      if (!where.ok) return where;
+      if (this.exists && where.value.goesOn) return Fault.ok({ tag: "ok" });
+      for (let round = 0; round < 20; round += 1) {
+        const missing = yield* this.fetchSegments(body.from);
+        if (!missing.ok) return missing;
+        const state = yield* this.rpc.ask<{ epoch: number; saved: Saved }>(body.from, "shard.openState", { shard: this.shard, member: this.self }, 5000);
+        if (!state.ok) return state;
+        // what was sealed since the list was read comes along in the open state, unless it was written meanwhile
+        const { saved } = state.value;
+        const held = (kind: SegmentKind): number => saved.data.segments[kind] - saved.data.sealing.filter((each) => each.kind === kind).length;
+        if ((["works", "lots", "ledger"] as const).some((kind) => held(kind) > missing.value[kind])) continue;
+        return yield* this.takeOpenState(state.value.epoch, saved);
+      }
+      return Fault.fail("timeout", "fill", this.self, "segments are sealed faster than they come");
+    } finally {
+      this.filling = "";
+    }
+  }
+  /** Takes what is missing here of another copy's segments; how many of each kind stand here then. */
+  private *fetchSegments(from: string): Task<Result<SegmentCounts>> {
+    const listed = yield* this.rpc.ask<{ counts: SegmentCounts; trimmed: SegmentCounts; segments: ReturnType<Segments["list"]> }>(from, "shard.segments", { shard: this.shard }, 2000);
+    if (!listed.ok) return listed;
+    for (const { kind, number, sum } of listed.value.segments) {
+      const trimmed = number < listed.value.trimmed[kind];
+      if (yield* this.segments.holds(kind, number, sum, trimmed)) continue;
+      for (const part of trimmed ? (["idx"] as const) : (["seg", "idx"] as const)) {
+        const taken = yield* this.fetchFile(from, kind, number, part);
+        if (!taken.ok) return taken;
+      }
+    }
+    return Fault.ok(listed.value.counts);
+  }
+  private *fetchFile(from: string, kind: SegmentKind, number: number, part: "seg" | "idx"): Task<Result<true>> {
+    const pieces: Buffer[] = [];
+    for (let at = 0, size = 1; at < size; ) {
+      const piece = yield* this.rpc.ask<{ data: string; size: number }>(from, "shard.segmentPart", { shard: this.shard, kind, number, part, from: at }, 3000);
+      if (!piece.ok) return piece;
+      const bytes = Buffer.from(piece.value.data, "base64");
+      if (bytes.length === 0) return Fault.fail("invalid", "fill", from, "an empty piece");
+      pieces.push(bytes);
+      at += bytes.length;
+      size = piece.value.size;
+      this.counts.filledBytes += bytes.length;
+      yield* EnvTools.sleep(this.env, (bytes.length * 1000) / Constants.fillBytesPerSecond);
+    }
+    this.env.point(17);
+    return yield* this.segments.put(kind, number, part, Buffer.concat(pieces));
+  }
+  private *takeOpenState(epoch: number, given: Saved): Task<Result<{ tag: "ok" }>> {
     const copy = this;
-    return yield* this.locked<Result<any>>(function* () {
-      if (copy.slots.broken) return Fault.fail("disk", "whole", copy.self, "disk failed");
-      if (body.epoch < copy.sealed || body.epoch < (copy.view?.epoch ?? 0)) return Fault.ok({ tag: "sealed", epoch: copy.sealed });
+    return yield* this.locked<Result<{ tag: "ok" }>>(function* () {
+      if (copy.slots.broken) return Fault.fail("disk", "fill", copy.self, "disk failed");
+      if (epoch < copy.sealed || epoch < (copy.view?.epoch ?? 0)) return Fault.fail("conflict", "fill", copy.self, `sealed for ${copy.sealed}`);
       // a member of the view that it was taken from is never set back
-      if (copy.view?.members.includes(copy.self) && copy.view.epoch === body.saved.view?.epoch && body.saved.seq < copy.seq)
-        return Fault.fail("conflict", "whole", copy.self, `holds ${copy.seq} already`);
+      if (copy.view?.members.includes(copy.self) && copy.view.epoch === given.view?.epoch && given.seq < copy.seq)
+        return Fault.fail("conflict", "fill", copy.self, `holds ${copy.seq} already`);
       copy.stopLead("filled from another");
-      const saved: Saved = { ...body.saved, sealed: Math.max(copy.sealed, body.epoch) };
+      const saved: Saved = { ...given, sealed: Math.max(copy.sealed, epoch) };
       const done = yield* copy.slots.rotate(saved);
       if (!done.ok) {
         copy.breakDown(done.fault);
         return done;
       }
-      copy.take(saved);
+      const taken = yield* copy.take(saved);
+      if (!taken.ok) {
+        copy.breakDown(taken.fault);
+        return taken;
+      }
+      Csp.offer(copy.segmentWake, true);
       copy.role = saved.view?.members.includes(copy.self) ? "member" : "out";
       copy.env.log(1407, { shard: copy.shard, seq: copy.seq });
-      return Fault.ok({ tag: "ok", seq: copy.seq });
+      return Fault.ok({ tag: "ok" });
     });
   }
+  /** Whether a log that ends there can be brought up by entries of our tail. @example copy.goesOn({ seq: 100, lastEpoch: 3 }) */
+  goesOn = (where: { seq: number; lastEpoch: number }): boolean =>
+    where.seq > 0 && where.seq <= this.seq && this.epochAt(where.seq) === where.lastEpoch && (where.seq === this.seq || (this.tail[0]?.seq ?? Infinity) <= where.seq + 1);
   /** @example yield* copy.onDigest({ seq: 100 }) */
   *onDigest(body: { seq: number }): Task<Result<any>> {
-    return Fault.ok(this.applied === body.seq ? { digests: ShardState.digests(this.data) } : {});
+    return Fault.ok(this.applied === body.seq ? { digests: ShardState.digests(this.data), segments: this.segments.digest() } : {});
   }
   /** Objects of the given ranges, to mend by. @example yield* copy.onMend({ works, lots }) */
   *onMend(body: { epoch: number; seq: number; works: Work[]; lots: Lot[] }): Task<Result<any>> {
@@ -366,6 +468,38 @@
       return Fault.ok({ mended });
     });
   }
+  // ---------- reads ----------
+  /** An open lot or a closed one, from its segment. @example const lot = yield* copy.lot("lot-17"); */
+  *lot(id: string): Task<Result<Lot | undefined>> {
+    const lot = this.data.lots.get(id);
+    return lot ? Fault.ok(lot) : yield* this.segments.object("lots", id);
+  }
+  /** @example const request = yield* copy.work("req-1"); */
+  *work(id: string): Task<Result<Work | undefined>> {
+    const work = this.data.works.get(id);
+    return work ? Fault.ok(work) : yield* this.segments.object("works", id);
+  }
+  /** A read of sealed entries that goes on in the newest ones: repeated if some were sealed meanwhile. @example yield* copy.ofSealed(() => read) */
+  *ofSealed<T>(read: () => Task<Result<T>>): Task<Result<T>> {
+    for (;;) {
+      const before = this.data.segments.ledger;
+      const done = yield* read();
+      if (!done.ok || this.data.segments.ledger === before) return done;
+    }
+  }
+  /** Waits until something was applied here or came behind the frontier. @example yield* copy.changedWithin(800) */
+  *changedWithin(ms: number): Task<void> {
+    const wake = Csp.sliding<true>(1);
+    this.readers.add(wake);
+    // at the lead the frontier moves with the time itself: awake when it passes the next that waits for it
+    const next = Math.min(...this.data.waiting.map((waiting) => waiting.stamp.time));
+    const due = this.role === "lead" ? next + Stamp.delay(this.hooks.bounds()) - this.env.wall() + 1 : Infinity;
+    yield* EnvTools.takeWithin(this.env, wake, Math.min(ms, due > 0 ? due : Constants.statusPeriodMs));
+    this.readers.delete(wake);
+  }
+  private wakeReaders(): void {
+    for (const reader of this.readers) Csp.offer(reader, true);
+  }
   /** Synced writes so far. @example copy.syncs() */
   syncs = (): number => this.slots.syncs;
   /** @example copy.status().role */
@@ -375,7 +509,7 @@
       shard: this.shard, epoch: this.view?.epoch ?? 0, sealed: this.sealed, role: this.role, seq: this.seq, lastEpoch: this.lastEpoch,
       failing: [...this.failing].filter(([, since]) => now - since > Constants.replicateTimeoutMs / 2).map(([id]) => id),
       wantsView: this.wantsView, broken: this.slots.broken, frontier: this.data.frontier,
-      lots: Object.keys(this.data.lots).length, works: Object.keys(this.data.works).length,
+      lots: this.data.lots.size + this.data.segments.lots * Constants.segmentObjects.lots, works: this.data.works.size + this.data.segments.works * Constants.segmentObjects.works,
     };
   }
 
@@ -479,7 +613,12 @@
     let candidate = this.env.wall() - Stamp.delay(this.hooks.bounds());
     for (const pending of [...this.inFlight, ...this.pending]) candidate = Math.min(candidate, pending.put.stamp.time - 0.001);
     if (candidate > this.published) this.published = candidate;
-    ShardState.advance(this.data, this.published);
+    this.moveFrontier(this.published);
+  }
+  private moveFrontier(to: number): void {
+    const before = this.data.frontier;
+    ShardState.advance(this.data, to);
+    if (this.data.frontier !== before) this.wakeReaders();
   }
   /** How far temporal reads may go on this copy. @example const upTo = copy.frontier(); */
   frontier(): number {
@@ -490,8 +629,8 @@
   /** Puts through the lead. "late" and "notLead" mean it was never logged; "unknown" means ask again by the same id. @example yield* copy.put(put, 1000) */
   *put(put: Put, withinMs: number): Task<Result<PutOutcome>> {
     if (!this.holdsGrant()) return Fault.fail("notLead", "put", this.self, this.view?.lead ?? "");
-    const repeated = this.data.puts[put.putId];
-    if (repeated) return Fault.ok(repeated);
+    const repeated = this.data.puts.get(put.putId);
+    if (repeated) return Fault.ok(repeated.outcome);
     if (this.pending.length >= Constants.shardBufferPuts) return Fault.busy("put", this.self, "shard buffer full", Constants.retryAfterMs);
     const takesIn = put.ops.some((op) => op.op === "open" || op.op === "lot");
     if (takesIn && (this.diskLow || [...this.lowDisk.values()].some((low) => low))) return Fault.busy("put", this.self, "a store's disk is nearly full", 5 * Constants.retryAfterMs);
@@ -578,14 +717,33 @@
       yield* EnvTools.sleep(this.env, 40);
     }
   }
-  /** Fills a store that is to join, while puts go on; it becomes a member only once it was brought to a sealed end. @example yield* copy.fill("node-9", "10.0.0.9:7000") */
-  *fill(target: string, address: string): Task<Result<any>> {
-    if (!this.holdsGrant() || !this.view) return Fault.fail("notLead", "fill", this.self, "");
-    const where = yield* this.rpc.ask(address, "shard.position", { shard: this.shard }, 500);
-    if (!where.ok) return where;
-    if (where.value.exists && this.hasTailAfter(where.value)) return Fault.ok({ tag: "ok" });
-    this.env.point(48, { shard: this.shard, joiners: [target] });
-    return (yield* this.sendWhole(address, this.view.epoch, 5000)) ? Fault.ok({ tag: "ok" }) : Fault.fail("unknown", "fill", target, "not filled in time");
+  /** What a copy that is being filled is told of our segments. @example copy.onSegments() */
+  onSegments = (): Result<{ counts: SegmentCounts; trimmed: SegmentCounts; segments: ReturnType<Segments["list"]> }> =>
+    Fault.ok({ counts: { ...this.data.segments }, trimmed: { ...this.data.trimmed }, segments: this.segments.list() });
+  /** Looks at one segment file in turn; a damaged one is fetched anew from another member. @example yield* copy.scrub(7) */
+  *scrub(turn: number): Task<void> {
+    const looked = this.segments.next(turn);
+    if (!looked || this.slots.broken || this.role === "out" || (yield* this.segments.holds(looked.kind, looked.number, looked.sum, false))) return;
+    this.env.log(1413, { shard: this.shard, segment: `${looked.kind}-${looked.number}` });
+    for (const id of this.others()) {
+      const address = this.hooks.addressOf(id);
+      const fetched = address ? yield* this.fetchFile(address, looked.kind, looked.number, "seg") : undefined;
+      if (!fetched?.ok) continue;
+      this.counts.mended += 1;
+      return;
+    }
+  }
+  /** The lead holds other segments than we do: its word goes. @example yield* copy.onMendSegments({ from }) */
+  *onMendSegments(body: { from: string }): Task<Result<{ mended: number }>> {
+    const before = this.segments.digest();
+    const fetched = yield* this.fetchSegments(body.from);
+    if (!fetched.ok) return fetched;
+    const copy = this;
+    const opened = yield* this.locked(() => copy.segments.open(copy.data.segments, copy.data.trimmed, copy.data.sealing));
+    if (!opened.ok) return opened;
+    const mended = this.segments.digest() === before ? 0 : 1;
+    this.counts.mended += mended;
+    return Fault.ok({ mended });
   }
   /** Compares ranges with every other member and mends what differs. @example yield* copy.repair() */
   *repair(): Task<number> {
@@ -608,11 +766,15 @@
     const theirs = yield* this.rpc.ask(address, "shard.digest", { shard: this.shard, seq }, 1000);
     if (!theirs.ok) return 0;
     if (!theirs.value.digests || this.applied !== seq) return undefined;
+    if (theirs.value.segments !== this.segments.digest()) {
+      const mended = yield* this.rpc.ask(address, "shard.mendSegments", { shard: this.shard, from: this.hooks.addressOf(this.self) }, 10_000);
+      this.env.log(1408, { shard: this.shard, segmentsOf: id, mended: mended.ok });
+    }
     const differing = new Set(ours.flatMap((digest, range) => (digest === theirs.value.digests[range] ? [] : [range])));
     if (differing.size === 0) return 0;
     const inRange = (object: { id: string }): boolean => differing.has(ShardState.bucketOf(object.id));
     const replied = yield* this.rpc.ask(address, "shard.mend", {
-      shard: this.shard, epoch: this.view.epoch, seq, works: Object.values(this.data.works).filter(inRange), lots: Object.values(this.data.lots).filter(inRange),
+      shard: this.shard, epoch: this.view.epoch, seq, works: [...this.data.works.values()].filter(inRange), lots: [...this.data.lots.values()].filter(inRange),
     }, 2000);
     return replied.ok ? replied.value.mended : 0;
   }
--- a/src/sim/scenarios.ts
+++ b/src/sim/scenarios.ts
@@ -13,6 +13,9 @@
   12: { process: "store-", about: "after a log append, before anyone is told" },
   13: { process: "store-", about: "slot written, next log not yet begun" },
   14: { process: "store-", about: "next log begun, old log not yet removed" },
+  15: { process: "store-", about: "a segment is written, its index not yet" },
+  16: { process: "store-", about: "a segment and its index are written, the slots still carry it" },
+  17: { process: "store-", about: "a copy being filled has a whole file, not yet written" },
   21: { process: "agent-", about: "a newer frame was just taken" },
   31: { process: "control-", about: "voted for itself, votes not yet asked" },
   32: { process: "control-", about: "won an election, nothing written yet" },
@@ -121,14 +124,14 @@
       const target = points[point];
       if (!target) throw new Error(`no fault point ${point}; known: ${Object.keys(points).join(" ")}`);
       let victim = "";
-      const hits = target.process === "store-" && ![13, 14, 43, 44, 48, 49, 50].includes(point) ? 1 + Math.floor(fleet.world.random() * 6) : 1;
+      const hits = target.process === "store-" && ![13, 14, 17, 43, 44, 48, 49, 50].includes(point) ? 1 + Math.floor(fleet.world.random() * 6) : 1;
       fleet.world.arm(target.process, point, hits, (process) => {
         victim = process.name;
         fleet.fault(`kill ${victim} at point ${point}`, true);
         fleet.kill(victim);
       });
       // what makes the rarer points be reached
-      const nudge = [13, 14].includes(point) ? "long" : [31, 32, 34].includes(point) ? "election" : [36, 38, 39, 40, 43, 44, 48, 49, 50].includes(point) ? "views" : "";
+      const nudge = [13, 14].includes(point) ? "long" : [31, 32, 34].includes(point) ? "election" : [17, 36, 38, 39, 40, 43, 44, 48, 49, 50].includes(point) ? "views" : "";
       if (nudge === "election") {
         const lead = fleet.controlLead();
         fleet.kill(lead);
--- a/src/sim/simFleet.ts
+++ b/src/sim/simFleet.ts
@@ -1,3 +1,4 @@
+import { Constants } from "../constants";
 import { Daemon, Running } from "../core/daemon";
 import { Csp, Task } from "../csp/csp";
 import { EnvTools } from "../env/env";
@@ -51,6 +52,7 @@
     readonly seed: number,
     log: (line: string) => void = () => undefined,
   ) {
+    Object.assign(Constants.segmentObjects, Constants.simSegmentObjects);
     this.world = new SimWorld(seed, log);
     this.plan = Deployment.plan(deployment, 30_000, "data");
     this.world.watch = (process, point) => {
@@ -152,7 +154,7 @@
   /** How far the synced log of a copy goes. */
   private lastOnDisk(name: string, shard: number): Place {
     const files = this.disks.get(name)!.under(`data/${name}/shard-${shard}`);
-    const { state, records } = TwoSlots.peek((each) => files.get(each), [...files.keys()]);
+    const { state, records } = TwoSlots.peek((each) => files.get(each), [...files.keys()], 2);
     for (const record of records.reverse()) {
       const read = JSON.parse(record.toString("utf8"));
       if (read.tag === "entry") return { epoch: read.entry.epoch, seq: read.entry.seq };
--- a/src/store/storeNode.ts
+++ b/src/store/storeNode.ts
@@ -1,7 +1,6 @@
 import { Constants } from "../constants";
 import { Csp, Task } from "../csp/csp";
 import { Env, EnvTools } from "../env/env";
-import { TwoSlots } from "../env/twoSlots";
 import { Chooser } from "../core/chooser";
 import { Fault, Result } from "../core/fault";
 import { Node } from "../core/node";
@@ -73,7 +72,7 @@
   private copy(shard: number): ShardCopy {
     let copy = this.copies.get(shard);
     if (!copy) {
-      copy = new ShardCopy(this.env, this.node.rpc, this.node.self.id, shard, new TwoSlots(this.env, `${this.settings.data}/shard-${shard}`), {
+      copy = new ShardCopy(this.env, this.node.rpc, this.node.self.id, shard, `${this.settings.data}/shard-${shard}`, {
         addressOf: (id) => this.node.addressOf(id),
         bounds: () => this.node.bounds(),
         vouches: () => this.node.vouches(),
@@ -103,10 +102,31 @@
       yield* EnvTools.sleep(this.env, 1000);
     }
   }
+  /** What is older than the operator lets it become is let go, by a decision in the ledger. */
+  private *trim(copy: ShardCopy): Task<void> {
+    const manifest = this.node.frame().control?.manifest;
+    const kinds = [["works", "requestsMs"], ["lots", "lotsMs"], ["ledger", "ledgerMs"]] as const;
+    for (const [kind, setting] of kinds) {
+      const keepMs = manifest?.doc.retention?.[setting];
+      if (keepMs === undefined) continue;
+      const before = this.env.wall() - keepMs;
+      const below = copy.segments.olderThan(kind, before);
+      if (below <= copy.data.trimmed[kind]) continue;
+      const detail = `trimmed ${kind} segments ${copy.data.trimmed[kind]} to ${below - 1}: nothing in them is newer than ${new Date(before).toISOString()}`;
+      yield* this.putter.put(copy.shard, `trim-${copy.shard}-${kind}-${below}`, [{ op: "trim", kind, below, detail }], { manifest: manifest!.version, note: `retention ${setting} ${keepMs}` }, 2000);
+    }
+  }
   private *repairLoop(): Task<void> {
+    let turn = 0;
     for (;;) {
       yield* EnvTools.sleep(this.env, Constants.repairPeriodMs);
-      for (const copy of this.copies.values()) if (copy.holdsGrant()) yield* copy.repair();
+      turn += 1;
+      for (const copy of this.copies.values()) {
+        yield* copy.scrub(turn);
+        if (!copy.holdsGrant()) continue;
+        yield* copy.repair();
+        yield* this.trim(copy);
+      }
     }
   }
 
@@ -119,13 +139,18 @@
     on("shard.install", (copy, body) => copy.onInstall(body));
     on("shard.level", (copy, body) => copy.onLevel(body));
     on("shard.catchUp", (copy, body) => copy.onCatchUp(body));
-    on("shard.whole", (copy, body) => copy.onWhole(body));
+    on("shard.fill", (copy, body) => copy.onFill(body));
+    on("shard.openState", (copy, body) => copy.onOpenState(body));
+    on("shard.segments", function* (copy) {
+      return copy.onSegments();
+    });
+    on("shard.segmentPart", (copy, body) => copy.segments.part(body.kind, body.number, body.part, body.from));
+    on("shard.mendSegments", (copy, body) => copy.onMendSegments(body));
+    on("shard.goesOn", function* (copy, body) {
+      return Fault.ok({ goesOn: copy.goesOn(body) });
+    });
     on("shard.digest", (copy, body) => copy.onDigest(body));
     on("shard.mend", (copy, body) => copy.onMend(body));
-    on("shard.fill", (copy, body) => copy.fill(body.target, body.address));
-    on("shard.position", function* (copy) {
-      return Fault.ok({ exists: copy.exists, seq: copy.seq, lastEpoch: copy.lastEpoch });
-    });
     const store = this;
     rpc.handle("store.status", function* () {
       return Fault.ok({ shards: [...store.copies.values()].filter((copy) => copy.exists).map((copy) => copy.status()), stopping: store.node.stopping, vouches: store.node.vouches() });
@@ -151,7 +176,7 @@
       return Fault.ok({
         shards: [...store.copies.values()].filter((copy) => copy.exists).map((copy) => copy.status()),
         lots: [...store.copies.values()].filter((copy) => copy.role === "lead").flatMap((copy) =>
-          Object.values(copy.data.lots).map((lot) => ({ id: lot.id, shard: copy.shard, items: lot.items.length, open: lot.open, ended: lot.ended, results: lot.positions.length }))),
+          [...copy.data.lots.values()].map((lot) => ({ id: lot.id, shard: copy.shard, items: lot.items.length, open: lot.open, ended: lot.ended, results: lot.positions.length }))),
       });
     });
   }
@@ -180,19 +205,21 @@
     if (outside) return outside;
     const until = this.env.mono() + Math.min(body.waitMs, Constants.readWaitMs);
     for (;;) {
-      copy.frontier();
-      const lot = copy.data.lots[body.id];
+      const frontier = copy.frontier();
+      const held = yield* copy.lot(body.id);
+      if (!held.ok) return held;
+      const lot = held.value;
       if (lot) {
         const positions = lot.positions.slice(body.after, body.after + body.limit);
         const finished = lot.open === 0 && lot.positions.length === lot.items.filter((item) => item.stamp).length;
         if (positions.length > 0 || finished || this.env.mono() >= until)
           return Fault.ok({
             results: positions.map((item, at) => ({ position: body.after + at + 1, item, state: lot.items[item].state, result: lot.items[item].result, stamp: Stamp.text(lot.items[item].stamp!) })),
-            finished: finished && body.after + positions.length === lot.positions.length, ended: lot.ended, frontier: copy.data.frontier,
+            finished: finished && body.after + positions.length === lot.positions.length, ended: lot.ended, frontier,
           });
       } else if (copy.holdsGrant()) return Fault.fail("notFound", "lot results", this.node.self.id, `no lot ${body.id}`);
       else if (this.env.mono() >= until) return Fault.fail("notLead", "lot results", this.node.self.id, "not here yet");
-      yield* EnvTools.sleep(this.env, 30);
+      yield* copy.changedWithin(until - this.env.mono());
     }
   }
   private *ledgerRead(copy: ShardCopy, body: { after: string; limit: number }): Task<Result<unknown>> {
@@ -200,17 +227,25 @@
     if (outside) return outside;
     const frontier = copy.frontier();
     const after = Stamp.parse(body.after) ?? { time: -1, node: "", seq: 0 };
-    const from = ShardState.after(copy.data, after);
-    return Fault.ok({ frontier, entries: copy.data.ledger.slice(from, from + body.limit), oldest: copy.data.ledger[0]?.stamp ?? null });
+    const sealed = yield* copy.ofSealed(() => copy.segments.ledgerAfter(after, body.limit));
+    if (!sealed.ok) return sealed;
+    // by its place, not by its stamp: a put's entries may lie on both sides
+    const all = sealed.value.all ? [...sealed.value.entries, ...copy.data.ledger.slice(ShardState.after(copy.data, after))] : sealed.value.entries;
+    // a put's entries stay together
+    let cut = Math.min(body.limit, all.length);
+    while (cut > 0 && cut < all.length && Stamp.compare(all[cut].stamp, all[cut - 1].stamp) === 0) cut += 1;
+    return Fault.ok({ frontier, entries: all.slice(0, cut), oldest: copy.segments.oldest() ?? copy.data.ledger[0]?.stamp ?? null });
   }
   private *ledgerAbout(copy: ShardCopy, body: { subjects: string[]; change: string }): Task<Result<unknown>> {
     const outside = this.current(copy);
     if (outside) return outside;
     const about = (entry: LedgerEntry): boolean => body.subjects.some((subject) => entry.subject === subject || entry.subject.startsWith(`${subject}/`)) || (body.change !== "" && !!entry.cause.note?.startsWith(`change ${body.change} `));
+    const sealed = yield* copy.ofSealed(() => copy.segments.ledgerAbout([...body.subjects, `change ${body.change}`], 0, about, Constants.aboutEntriesMax));
+    if (!sealed.ok) return sealed;
     const stable = copy.data.ledger.filter(about);
     // logical mode at the lead: what was logged but not yet indexed is shown too, marked as such
     const fresh = copy.holdsGrant() ? copy.data.waiting.flatMap((waiting) => waiting.ledger).filter(about) : [];
-    return Fault.ok({ entries: [...stable, ...fresh], frontier: copy.frontier() });
+    return Fault.ok({ entries: [...sealed.value, ...stable, ...fresh], frontier: copy.frontier() });
   }
   /** The nearest version not prior to τ; past the frontier it waits, then says busy. */
   private *temporalGet(copy: ShardCopy, body: { subject: string; time: number; waitMs: number }): Task<Result<unknown>> {
@@ -218,14 +253,17 @@
     if (outside) return outside;
     const until = this.env.mono() + Math.min(body.waitMs, Constants.readWaitMs);
     for (;;) {
-      copy.frontier();
-      const found = ShardState.nearest(copy.data, body.subject, body.time);
-      if (found) return Fault.ok({ version: found, frontier: copy.data.frontier });
+      const frontier = copy.frontier();
+      const fits = (entry: LedgerEntry): boolean => entry.subject === body.subject && entry.stamp.time >= body.time;
+      const sealed = yield* copy.ofSealed(() => copy.segments.ledgerAbout([body.subject], body.time, fits, 1));
+      if (!sealed.ok) return sealed;
+      const found = sealed.value[0] ?? ShardState.nearest(copy.data, body.subject, body.time);
+      if (found) return Fault.ok({ version: found, frontier });
       if (this.env.mono() >= until) {
-        const lacking = Math.max(Constants.retryAfterMs, body.time - copy.data.frontier);
+        const lacking = Math.max(Constants.retryAfterMs, body.time - frontier);
         return Fault.busy("temporal get", this.node.self.id, `no stable version not prior to ${body.time} yet`, Math.round(lacking));
       }
-      yield* EnvTools.sleep(this.env, 30);
+      yield* copy.changedWithin(until - this.env.mono());
     }
   }
 
--- a/src/store/work.ts
+++ b/src/store/work.ts
@@ -9,7 +9,7 @@
 import { Stamp } from "../core/stamp";
 import { Binding } from "../control/controlState";
 import { ShardCopy } from "../shard/shardCopy";
-import { Cause, Lot, Op, PutOutcome, ShardState, Work as Held } from "../shard/shardState";
+import { Cause, Lot, LotOrder, Op, PutOutcome, ShardState, Work as Held } from "../shard/shardState";
 import { Putter } from "./putter";
 
 /* eslint-disable @typescript-eslint/no-explicit-any */
@@ -116,7 +116,9 @@
     const id = body.work.id;
     for (let busy = this.opening.get(id); busy; busy = this.opening.get(id)) yield* Csp.take(busy);
     if (!copy.holdsGrant() || this.node.stopping || !this.node.vouches()) return Fault.fail("notLead", "open", this.node.self.id, copy.view?.lead ?? "");
-    const known = copy.data.works[id];
+    const kept = copy.segments.find("works", id);
+    if (kept) return Fault.ok({ tag: "exists", same: copy.segments.sameBody(kept, body.work.bodyHash), state: kept.trimmed ? "trimmed" : kept.state });
+    const known = copy.data.works.get(id);
     const again = known?.state === "refused" && known.closedAt !== null && Stamp.compare(body.stamp, known.closedAt) > 0;
     if (known && !again) return Fault.ok({ tag: "exists", same: known.bodyHash === body.work.bodyHash, state: known.state });
     if (!Stamp.admits(body.stamp.time, this.env.wall(), this.node.bounds())) return Fault.fail("late", "open", this.node.self.id, `stamp ${Stamp.text(body.stamp)} outside the bounds`);
@@ -182,7 +184,9 @@
     try {
       for (;;) {
         if (!copy.holdsGrant()) return Fault.fail("notLead", "read", this.node.self.id, copy.view?.lead ?? "");
-        const work = copy.data.works[body.id];
+        const held = yield* copy.work(body.id);
+        if (!held.ok) return held;
+        const work = held.value;
         if (!work) return Fault.fail("notFound", "read", this.node.self.id, `no request ${body.id}`);
         const closed = ShardState.isClosed(work);
         if (work.pieces.length > body.after || closed || this.env.mono() >= until)
@@ -338,9 +342,11 @@
 
   // ---------- lots ----------
   /** @example yield* work.acceptLot(copy, { stamp, lot, cause }) */
-  *acceptLot(copy: ShardCopy, body: { stamp: Stamp; lot: Omit<Lot, "items" | "open" | "ended" | "endedBy" | "positions" | "stamp" | "version">; cause: Cause }): Task<Result<any>> {
+  *acceptLot(copy: ShardCopy, body: { stamp: Stamp; lot: LotOrder; cause: Cause }): Task<Result<any>> {
     if (!copy.holdsGrant() || !this.node.vouches()) return Fault.fail("notLead", "accept lot", this.node.self.id, copy.view?.lead ?? "");
-    const known = copy.data.lots[body.lot.id];
+    const kept = copy.segments.find("lots", body.lot.id);
+    if (kept) return Fault.ok({ tag: "exists", same: copy.segments.sameBody(kept, body.lot.bodyHash), state: kept.trimmed ? "trimmed" : "" });
+    const known = copy.data.lots.get(body.lot.id);
     if (known) return Fault.ok({ tag: "exists", same: known.bodyHash === body.lot.bodyHash, state: "" });
     if (!Stamp.admits(body.stamp.time, this.env.wall(), this.node.bounds())) return Fault.fail("late", "accept lot", this.node.self.id, "stamp outside the bounds");
     if (copy.view!.members.length < Constants.minCopiesForLots) return Fault.busy("accept lot", this.node.self.id, "too few copies", 3 * Constants.retryAfterMs);
@@ -351,7 +357,9 @@
   /** @example yield* work.lotStatus(copy, { id: "L1" }) */
   *lotStatus(copy: ShardCopy, body: { id: string }): Task<Result<any>> {
     if (!copy.holdsGrant()) return Fault.fail("notLead", "lot status", this.node.self.id, copy.view?.lead ?? "");
-    const lot = copy.data.lots[body.id];
+    const held = yield* copy.lot(body.id);
+    if (!held.ok) return held;
+    const lot = held.value;
     if (!lot) return Fault.fail("notFound", "lot status", this.node.self.id, `no lot ${body.id}`);
     const states: Record<string, number> = {};
     for (const item of lot.items) states[item.state] = (states[item.state] ?? 0) + 1;
@@ -360,14 +368,15 @@
   /** @example yield* work.endLot(copy, { id: "L1", stamp, by: "caller" }) */
   *endLot(copy: ShardCopy, body: { id: string; stamp: Stamp; by: string }): Task<Result<any>> {
     if (!copy.holdsGrant()) return Fault.fail("notLead", "end lot", this.node.self.id, copy.view?.lead ?? "");
-    if (!copy.data.lots[body.id]) return Fault.fail("notFound", "end lot", this.node.self.id, `no lot ${body.id}`);
+    if (copy.segments.find("lots", body.id)) return Fault.ok({ ended: true }); // closed long ago: nothing of it can start
+    if (!copy.data.lots.has(body.id)) return Fault.fail("notFound", "end lot", this.node.self.id, `no lot ${body.id}`);
     const put = yield* copy.put({ putId: `end-${body.id}`, stamp: body.stamp, ops: [{ op: "lotEnd", lot: body.id, by: body.by }], cause: {} }, 1100);
     return put.ok ? Fault.ok({ ended: true }) : put;
   }
 
   /** A lot whose put outran the handler's patience was accepted all the same. */
   private noteOpenLots(copy: ShardCopy): void {
-    for (const lot of Object.values(copy.data.lots)) if (lot.open > 0 && !lot.ended) this.openLots.set(lot.id, copy.shard);
+    for (const lot of copy.data.lots.values()) if (lot.open > 0 && !lot.ended) this.openLots.set(lot.id, copy.shard);
   }
   /** A shard's lead begins: what its log calls for is taken up. @example work.leadStarted(copy); */
   leadStarted(copy: ShardCopy): void {
@@ -392,8 +401,8 @@
   private *takeUp(copy: ShardCopy, epoch: number): Task<void> {
     const orphanOf = new Map<string, string[]>(); // owner → ids
     const add = (owner: string, id: string): void => void orphanOf.set(owner, [...(orphanOf.get(owner) ?? []), id]);
-    for (const work of Object.values(copy.data.works)) if (!ShardState.isClosed(work)) add(work.owner, `work ${work.id}`);
-    for (const lot of Object.values(copy.data.lots)) if (lot.open > 0) lot.items.forEach((item, at) => item.state === "claimed" && add(item.owner, `item ${lot.id}/${at}`));
+    for (const work of copy.data.works.values()) if (!ShardState.isClosed(work)) add(work.owner, `work ${work.id}`);
+    for (const lot of copy.data.lots.values()) if (lot.open > 0) lot.items.forEach((item, at) => item.state === "claimed" && add(item.owner, `item ${lot.id}/${at}`));
     for (const [owner, all] of orphanOf) {
       const key = `${copy.shard}/${epoch}/${owner}`;
       const ids = all.filter((id) => !this.running.has(id.slice(5)));
@@ -436,7 +445,7 @@
     }
   }
   private *recoverWork(copy: ShardCopy, id: string): Task<void> {
-    const work = copy.data.works[id];
+    const work = copy.data.works.get(id);
     if (!work || ShardState.isClosed(work)) return;
     const shard = copy.shard;
     const close = (state: "failed" | "unknown" | "refused", outcome: string): Task<Result<PutOutcome>> =>
@@ -467,10 +476,10 @@
     const cut = name.lastIndexOf("/");
     const lotId = name.slice(0, cut);
     const at = +name.slice(cut + 1);
-    const item = copy.data.lots[lotId]?.items[at];
+    const item = copy.data.lots.get(lotId)?.items[at];
     if (!item || item.state !== "claimed") return;
     const putId = `recover-${name}-${item.round}`;
-    const op: Op = copy.data.lots[lotId].safe
+    const op: Op = copy.data.lots.get(lotId)!.safe
       ? { op: "itemRelease", lot: lotId, item: at, round: item.round, why: "its store was lost" }
       : { op: "itemResult", lot: lotId, item: at, round: item.round, state: "unknown", result: JSON.stringify({ detail: "the store that ran it was lost; it may have run" }) };
     yield* this.put(copy.shard, putId, [op], { note: "lead changed" }, 5000);
@@ -486,7 +495,7 @@
       const lots: { lot: Lot; copy: ShardCopy }[] = [];
       for (const [id, shard] of this.openLots) {
         const copy = this.copies.get(shard);
-        const lot = copy?.data.lots[id];
+        const lot = copy?.data.lots.get(id);
         if (!copy || !lot || lot.open === 0 || lot.ended) {
           this.openLots.delete(id);
           continue;
@@ -539,7 +548,7 @@
     }
     this.env.point(55);
     const copy = this.copies.get(shard);
-    const lot = copy?.data.lots[lotId];
+    const lot = copy?.data.lots.get(lotId);
     const stale = this.env.mono() - claimedAt > Constants.shardGrantMs / 2 || !copy?.holdsGrant() || !lot || lot.ended || !this.stillEligible(replica, bindingName, "item", "", binding.pool);
     if (stale) {
       this.chooser.end(replica, true);
--- a/test/clock.test.ts
+++ b/test/clock.test.ts
@@ -61,8 +61,8 @@
   expect(put({ op: "lotEnd", lot: "L", by: "c" })).toBe("done");
   expect(put({ op: "itemClaim", lot: "L", item: 2, round: 1, replica: "r", owner: "s" })).toBe("no");
   expect(put({ op: "itemRelease", lot: "L", item: 1, round: 1, why: "unsent" })).toBe("done");
-  expect(data.lots.L.items.map((item) => item.state)).toEqual(["done", "ended", "ended"]);
-  expect(data.lots.L.open).toBe(0);
+  expect(data.lots.get("L")!.items.map((item) => item.state)).toEqual(["done", "ended", "ended"]);
+  expect(data.lots.get("L")!.open).toBe(0);
 });
 test("what was refused may come again only as a later arrival", () => {
   const data = ShardState.empty();
--- /dev/null
+++ b/test/kept.test.ts
@@ -0,0 +1,177 @@
+import { OperatorSchemas } from "../src/adapters/operatorSchemas";
+import { Constants } from "../src/constants";
+import { Stamp } from "../src/core/stamp";
+import { Task } from "../src/csp/csp";
+import { EnvTools } from "../src/env/env";
+import { TwoSlots } from "../src/env/twoSlots";
+import { ShardCopy } from "../src/shard/shardCopy";
+import { Op, PutOutcome } from "../src/shard/shardState";
+import { SimDisk } from "../src/sim/simDisk";
+import { SimProcess, SimWorld } from "../src/sim/simWorld";
+import { Rpc } from "../src/wire/rpc";
+
+const binding = { kind: "item" as const, pool: "p", path: "/", safe: false, deadlineMs: 1000, continues: "no" as const, prefixBytes: 0 };
+const wallAt = 1_790_000_000_000;
+/** A shard of one store: its copy, opened and made the lead of the next view. */
+function* leading(process: SimProcess, epoch: number): Task<ShardCopy> {
+  const copy = new ShardCopy(process.env, new Rpc(process.env, "c", "s1"), "s1", 0, "d", {
+    addressOf: () => undefined, bounds: () => Stamp.defaults, vouches: () => true, putTook: () => undefined, started: () => undefined, stopped: () => undefined,
+  });
+  const opened = yield* copy.open();
+  if (!opened.ok) throw new Error(opened.fault.detail);
+  if (epoch > 1) yield* copy.onSeal({ epoch });
+  yield* copy.onInstall({ view: { shard: 0, epoch, members: ["s1"], lead: "s1" }, waitMs: 0 });
+  while (!copy.holdsGrant()) yield* EnvTools.sleep(process.env, 20);
+  return copy;
+}
+let puts = 0;
+function* put(copy: ShardCopy, process: SimProcess, ops: Op[]): Task<PutOutcome> {
+  const putId = `p${(puts += 1)}`;
+  for (;;) {
+    const done = yield* copy.put({ putId, stamp: { time: Math.floor(process.env.wall()), node: "n", seq: puts }, ops, cause: {} }, 5000);
+    if (done.ok) return done.value;
+    if (done.fault.tag !== "late") throw new Error(JSON.stringify(done.fault));
+    yield* EnvTools.sleep(process.env, 10); // a lead that just began: its frontier is ahead by δ
+  }
+}
+const order = (id: string, body = "h"): Op[] => [
+  { op: "open", work: { id, binding: "b", bodyHash: `0123${body.charCodeAt(0).toString(16)}aaaaaaaaaaaaa`, body: "{}", keyed: true, safe: false, exact: false, deadlineAt: 0, order: 0, life: `${wallAt * 2}~n~0` } },
+  { op: "claim", id, round: 1, replica: "r", owner: "s1" },
+];
+function* single(copy: ShardCopy, process: SimProcess, id: string): Task<void> {
+  yield* put(copy, process, [...order(id), { op: "pieces", id, round: 1, first: 1, data: [`reply of ${id}`] }, { op: "close", id, round: 1, state: "done", outcome: "" }]);
+}
+const lotOrder = (id: string): Op => ({ op: "lot", lot: { id, binding: "b", bodyHash: "beef00000000000", bodies: ["1", "2"], safe: false, order: 1, kept: binding } });
+function* lot(copy: ShardCopy, process: SimProcess, id: string): Task<void> {
+  yield* put(copy, process, [
+    lotOrder(id),
+    ...[1, 0].flatMap((item): Op[] => [
+      { op: "itemClaim", lot: id, item, round: 1, replica: "r", owner: "s1" },
+      { op: "itemResult", lot: id, item, round: 1, state: "done", result: `${id}/${item}` },
+    ]),
+  ]);
+}
+const inWorld = async <T>(world: SimWorld, process: SimProcess, body: () => Task<T>): Promise<T> => {
+  const done = await world.finish(process, body, 10_000_000);
+  expect(process.errors).toEqual([]);
+  return done as T;
+};
+
+describe("far more than a few thousand requests and lots, then power lost at day's end", () => {
+  const [singles, lots] = [12_000, 3_000];
+  const world = new SimWorld(3);
+  const disk = new SimDisk(world);
+  disk.syncMs = [0.05, 0.1];
+  let copy: ShardCopy;
+  let process: SimProcess;
+  beforeAll(async () => {
+    const before = world.start("day", disk);
+    await inWorld(world, before, function* () {
+      const filled = yield* leading(before, 1);
+      for (let n = 0; n < singles; n += 1) {
+        yield* single(filled, before, `key-${n}`);
+        if (n % 4 === 0) yield* lot(filled, before, `lot-${n / 4}`);
+      }
+      yield* EnvTools.sleep(before.env, 1000);
+      yield* single(filled, before, "key-last"); // its entry carries the clock by which lots are sealed
+    });
+    world.kill("day", true);
+    process = world.start("morning", disk);
+    copy = await inWorld(world, process, () => leading(process, 2));
+  }, 120_000);
+
+  test("every reply and every result in its position is read back; what is in memory is bounded", async () => {
+    await inWorld(world, process, function* () {
+      for (let n = 0; n < singles; n += 97) {
+        const work = yield* copy.work(`key-${n}`);
+        expect(work.ok && work.value?.pieces[0].data).toBe(`reply of key-${n}`);
+      }
+      for (let n = 0; n < lots; n += 29) {
+        const held = yield* copy.lot(`lot-${n}`);
+        expect(held.ok && held.value?.positions).toEqual([1, 0]); // one put, one stamp: in the order logged
+        expect(held.ok && held.value?.items.map((item) => item.result)).toEqual([`lot-${n}/0`, `lot-${n}/1`]);
+      }
+    });
+    expect(copy.data.works.size).toBeLessThanOrEqual(2 * Constants.segmentObjects.works);
+    expect(copy.data.lots.size).toBeLessThanOrEqual(2 * Constants.segmentObjects.lots);
+  });
+  test("a repeated key or lot id never runs again; with another body it is told apart", async () => {
+    await inWorld(world, process, function* () {
+      for (const id of ["key-0", `key-${singles - 1}`]) {
+        expect(yield* put(copy, process, order(id))).toEqual({ tag: "exists", same: true, state: "done" });
+        expect(yield* put(copy, process, order(id, "x"))).toEqual({ tag: "exists", same: false, state: "done" });
+      }
+      for (const id of ["lot-0", `lot-${lots - 1}`]) expect(yield* put(copy, process, [lotOrder(id)])).toEqual({ tag: "exists", same: true, state: "finished" });
+    });
+  });
+  test("trimmed by age: gone, never a new run; the ids outlive another start; what is newer stays", async () => {
+    const trimmed = await inWorld(world, process, function* () {
+      const below = copy.segments.olderThan("works", process.env.wall() + 1) - 1;
+      yield* put(copy, process, [{ op: "trim", kind: "works", below, detail: "trimmed" }]);
+      yield* EnvTools.sleep(process.env, 6000);
+      return below;
+    });
+    expect(trimmed).toBeGreaterThan(30);
+    expect([...disk.under("d").keys()].filter((name) => /^works-\d+\.seg$/.test(name)).length).toBe(copy.data.segments.works - trimmed);
+    world.kill("morning", true);
+    const next = world.start("next morning", disk);
+    await inWorld(world, next, function* () {
+      const again = yield* leading(next, 3);
+      const read = yield* again.work("key-0");
+      expect(!read.ok && read.fault.tag).toBe("gone");
+      expect(yield* put(again, next, order("key-0"))).toEqual({ tag: "exists", same: true, state: "trimmed" });
+      expect(yield* put(again, next, [{ op: "close", id: "key-0", round: 0, state: "refused", outcome: "" }])).toEqual({ tag: "exists", same: true, state: "done" });
+      const newest = yield* again.work(`key-${singles - 1}`);
+      expect(newest.ok && newest.value?.state).toBe("done");
+    });
+  });
+  test("a damaged index or a slot of another format is refused by its file's name", async () => {
+    const refused = async (name: string, spoil: (data: Buffer) => void): Promise<string> => {
+      const other = new SimDisk(world);
+      const spoilt = world.start(`spoilt ${name}`, other);
+      await inWorld(world, spoilt, function* () {
+        for (const [file, data] of disk.under("d")) {
+          const bytes = Buffer.from(data);
+          if (file === name) spoil(bytes);
+          yield* other.of(spoilt).write(`d/${file}`, bytes);
+        }
+      });
+      return inWorld(world, spoilt, function* () {
+        const segmented = new ShardCopy(spoilt.env, new Rpc(spoilt.env, "c", "s1"), "s1", 0, "d", { addressOf: () => undefined, bounds: () => Stamp.defaults, vouches: () => true, putTook: () => undefined, started: () => undefined, stopped: () => undefined });
+        const opened = yield* segmented.open();
+        return opened.ok ? "opened" : opened.fault.detail;
+      });
+    };
+    expect(await refused("works-3.idx", (data) => (data[30] ^= 0xff))).toBe("d/works-3.idx is damaged");
+    expect(await refused("works-3.idx", (data) => data.writeUInt32BE(9, 4))).toBe("d/works-3.idx has format 9; this version reads format 2");
+    expect(await refused("slot-a", (data) => data.writeUInt32BE(0x50425331, 0))).toBe("d/slot-a has format 1; this version reads format 2");
+    expect(await refused("none", () => undefined)).toBe("opened");
+  });
+});
+
+test("former data of the control group, in the first format, is still read; a shard's is refused", async () => {
+  const world = new SimWorld(1);
+  const disk = new SimDisk(world);
+  const process = world.start("p", disk);
+  const written = await world.finish(process, function* () {
+    const slots = new TwoSlots(process.env, "g");
+    yield* slots.open();
+    yield* slots.rotate({ kept: 1 });
+    const group = yield* new TwoSlots(process.env, "g").open();
+    const shard = yield* new TwoSlots(process.env, "g", 2).open();
+    return [group.ok && group.value.state, shard.ok ? "opened" : shard.fault.detail];
+  }, 1000);
+  expect(written).toEqual([{ kept: 1 }, "g/slot-b has format 1; this version reads format 2"]);
+});
+
+test.each([
+  [{ lotsMs: -1 }, "/retention/lotsMs: must be >= 1"],
+  [{ lotsMs: "a week" }, "/retention/lotsMs: must be integer"],
+  [{ requestsMs: 999 }, "/retention/requestsMs: must not be shorter than the longest deadline, 1000"],
+  [{ years: 1 }, "/retention/years: must NOT have additional properties"],
+])("a retention of %j is refused with its path, in a manifest and in the calendar", (retention, path) => {
+  const doc = { bindings: { b: { ...binding, continues: undefined, prefixBytes: undefined } }, retention };
+  const checked = OperatorSchemas.manifest(JSON.parse(JSON.stringify(doc)));
+  expect(!checked.ok && checked.fault.tag === "invalid" && checked.fault.paths).toContain(path);
+  expect(OperatorSchemas.calendar({ due: "now", move: { kind: "manifest", ifVersion: 0, doc: JSON.parse(JSON.stringify(doc)) } }, 0).ok).toBe(false);
+});
