--- a/src/adapters/operatorHttp.ts
+++ b/src/adapters/operatorHttp.ts
@@ -99,6 +99,20 @@
           yield* changed(incoming, (base) => ({ tag: "erase", ...base, id }));
         },
       },
+      {
+        method: "POST", path: /^\/v1\/control\/recover$/,
+        *run(incoming) {
+          const body = yield* Http.body(incoming, Constants.bodyLimitBytes);
+          if (!body) return;
+          const checked = OperatorSchemas.recovery(body.value);
+          if (!checked.ok) return Http.problem(incoming, checked.fault);
+          const address = host.frame().members.find((member) => member.id === checked.value.voter && member.program === "control")?.address;
+          if (!address) return Http.problem(incoming, { tag: "notFound", step: "recover", member: host.id, detail: `no living control member ${checked.value.voter}` });
+          const done = yield* host.rpc.ask(address, "control.recover", { ...checked.value, by: incoming.headers["x-operator"] || "operator" }, Constants.changeWaitMs);
+          if (!done.ok) return Http.problem(incoming, done.fault);
+          Http.json(incoming, 200, done.value);
+        },
+      },
       reading(/^\/v1\/ledger$/, (incoming) => Ledger.read(host, incoming.query.get("after") ?? "", number(incoming, "limit", 200, 2000))),
       reading(/^\/v1\/why\/(.+)$/, function* (_incoming, [id]) {
         const why = yield* Ledger.why(host, id);
--- a/src/adapters/operatorSchemas.ts
+++ b/src/adapters/operatorSchemas.ts
@@ -56,9 +56,10 @@
   properties: {
     due: { type: "string" },
     move: {
-      type: "object", required: ["kind"], properties: { kind: { enum: ["release", "drain", "undrain", "retire", "manifest"] } },
+      type: "object", required: ["kind"], properties: { kind: { enum: ["release", "rollback", "drain", "undrain", "retire", "manifest"] } },
       allOf: [
         move("release", { pool: name, version: text, overMs: { type: "integer", minimum: 0, maximum: 86_400_000, default: 0 } }, ["pool", "version"]),
+        move("rollback", { pool: name }, ["pool"]),
         move("drain", { district: text, until: { type: "number" } }, ["district"]),
         move("undrain", { district: text }, ["district"]),
         move("retire", { store: text }, ["store"]),
@@ -79,10 +80,11 @@
   type: "object", additionalProperties: false, required: ["binding", "items"],
   properties: { id: { type: "string", pattern: "^[A-Za-z0-9._-]{1,120}$" }, binding: name, items: { type: "array", minItems: 1, maxItems: Constants.lotItemsMax } },
 };
+const recoverySchema = { type: "object", additionalProperties: false, required: ["group", "voter", "acceptLoss"], properties: { group: text, voter: text, acceptLoss: { const: true } } };
 const ajv = new Ajv({ allErrors: true, useDefaults: true, strict: false });
 const compiled = {
   manifest: ajv.compile(manifestSchema), policies: ajv.compile(policiesSchema), calendar: ajv.compile(calendarSchema),
-  announcement: ajv.compile(announcementSchema), lot: ajv.compile(lotSchema),
+  announcement: ajv.compile(announcementSchema), lot: ajv.compile(lotSchema), recovery: ajv.compile(recoverySchema),
 };
 function run<T>(check: ValidateFunction, what: string, candidate: unknown): Result<T> {
   if (check(candidate)) return Fault.ok(candidate as T);
@@ -123,5 +125,6 @@
     return Fault.ok({ due, move: checked.value.move });
   },
   announcement: (candidate: unknown): Result<Announcement> => run(compiled.announcement, "announcement", candidate),
+  recovery: (candidate: unknown): Result<{ group: string; voter: string }> => run(compiled.recovery, "recovery", candidate),
   lot: (candidate: unknown): Result<{ id?: string; binding: string; items: unknown[] }> => run(compiled.lot, "lot", candidate),
 };
--- a/src/cli/operatorCommands.ts
+++ b/src/cli/operatorCommands.ts
@@ -110,6 +110,23 @@
       changing(options, "PUT", `/v1/calendar/retire-${store}-${Date.now()}`, { due: "now", move: { kind: "retire", store } }, 0));
     change("release <pool> <version>", "Gives new work to a version of a pool.").option("--over", "Milliseconds over which its share grows", 0).action((pool: string, released: string, options: any) =>
       changing(options, "PUT", `/v1/calendar/release-${pool}-${Date.now()}`, { due: "now", move: { kind: "release", pool, version: String(released), overMs: Number(options.over) } }, 0));
+    command("recover <group> <voter>", "Goes on from the one control voter that is left, after the others lost their disks.")
+      .option("--accept-loss", "Changes that only the lost voters had acknowledged are given up")
+      .option("--by", "Who asks")
+      .action((group: string, voter: string, options: any) => {
+        if (!options["accept-loss"]) {
+          process.stderr.write(`What only the lost voters of ${group} had acknowledged would be gone, and they may not come back as voters.\nRefused while a majority of voters lives. Say --accept-loss to go on from ${voter}.\n`);
+          process.exitCode = 2;
+          return;
+        }
+        return reach(async () => {
+          const said = await ask(options.node, "POST", "/v1/control/recover", { group, voter, acceptLoss: true }, options.by ? { "x-operator": String(options.by) } : {});
+          if (said.status === 200) print(options.json ? JSON.stringify(said.body) : `group ${said.body.group} goes on after index ${said.body.upTo}`);
+          finish(said);
+        });
+      });
+    change("rollback <pool>", "Takes the last release of a pool back: new work goes where it went before.").action((pool: string, options: any) =>
+      changing(options, "PUT", `/v1/calendar/rollback-${pool}-${Date.now()}`, { due: "now", move: { kind: "rollback", pool } }, 0));
     command("change <id>", "What became of a change.").action((id: string, options: any) => reading(options, `/v1/changes/${id}`, (body) => print(JSON.stringify(body))));
     command("ledger", "Reads the ledger in its one order.").option("--after", "Stamp to go on from", "").option("--limit", "Entries", 100).action((options: any) =>
       reading(options, `/v1/ledger?after=${encodeURIComponent(options.after)}&limit=${options.limit}`, (body) => entries(body.entries)));
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -46,6 +46,8 @@
   groupLogKeep: 400, // entries; log is folded into a slot past this length
   proposeTimeoutMs: 1800, // ms; an operator waits this long before fate is called unknown
   voterGoneMs: 4000, // ms; a voter silent for this long is replaced by a caught-up standby
+  recoveredIndexes: 1_000_000, // indexes; a recovered group begins so far above its voter's log, past all that the lost voters may have had
+  recoveredEpochs: 1_000_000, // epochs; the same for shard views
   voters: 3, // members; a cut in two of four always leaves two of three on one side
   foundRetryMs: 300, // ms; founders ask each other again
   changesKept: 2000, // change outcomes; asked after by change id
@@ -58,6 +60,8 @@
   shardGrantMs: 2000, // ms; the lead's grant from every other member of its view
   shardGrantMarginMs: 250, // ms; the lead stops this much before the grant's end
   grantRenewMs: 400, // ms; idle renewal, also carries the frontier to the copies
+  memberSilentMs: 1000, // ms; a member that has not synced for this long is left out by a new view while its lead lives
+  leadSilentMs: 1250, // ms; three renewals missed, as control and every other member say: a new view need not wait for suspicion
   replicateTimeoutMs: 900, // ms; a member that does not sync by then makes the lead ask for a new view
   sealTimeoutMs: 700, // ms; survivors answer a seal by then or stay out
   levelTimeoutMs: 1500, // ms; who is not at the sealed end by then is left out of the next view; a missing tail takes a few ms
@@ -69,6 +73,7 @@
   shardBufferPuts: 2048, // puts; waiting for order; past this, busy
   rangeBuckets: 16, // ranges; compared by digest
   diskReserveBytes: 67_108_864, // bytes; below this free, nothing new is accepted; what was accepted can finish
+  diskRetrySeconds: 3, // s; a failed disk is tried again this often, well inside the twelve seconds after it was freed
   fillEntries: 200, // entries; in one catch-up message
   repairPeriodMs: 10_000, // ms; copies of a shard are compared
   segmentObjects: { works: 256, lots: 64, ledger: 1024 }, // objects; in one segment: a few hundred KB, so that writing one takes a few ms
@@ -91,6 +96,7 @@
   requestDeadlineMs: 10_000, // ms; when neither caller nor binding says
   lookupRounds: 3, // rounds; a safe lookup is tried on this many replicas
   liveBuffer: 64, // requests; waiting for room at one ingress, per class
+  roomTurnMs: 50, // ms; the foremost that waits looks again this often, for what only the time brings
   liveWaitMs: 400, // ms; a request that would wait longer is refused at once
   retryAfterMs: 1000, // ms; least time told with busy
   streamPatienceMs: 15_000, // ms; a relay goes on through a takeover of its shard
--- a/src/control/calendar.ts
+++ b/src/control/calendar.ts
@@ -64,6 +64,7 @@
     switch (move.kind) {
       case "manifest":
       case "undrain":
+      case "rollback":
         yield* this.mark(entry, "finished", "");
         return;
       case "drain":
--- a/src/control/controlNode.ts
+++ b/src/control/controlNode.ts
@@ -8,7 +8,7 @@
 import { OperatorHttp } from "../adapters/operatorHttp";
 import { Putter } from "../store/putter";
 import { Calendar } from "./calendar";
-import { Command, ControlState, Outcome } from "./controlState";
+import { Command, ControlState, Outcome, View } from "./controlState";
 import { Group } from "./group";
 import { Views } from "./views";
 
@@ -57,6 +57,7 @@
       if (control.node.news.frame && control.node.news.frame.group !== body.group) return Fault.fail("conflict", "found", control.node.self.id, "a group is known");
       return yield* control.group.found(body.group, body.voters);
     });
+    rpc.handle("control.recover", (body) => control.recover(body));
     rpc.handle("control.op", (body) => control.operate(body));
     rpc.handle("control.status", function* () {
       return Fault.ok({ id: control.node.self.id, role: control.group.role, lead: control.group.lead, voters: control.group.voters(), applied: control.group.applied, holds: control.group.holdsLead() });
@@ -127,7 +128,6 @@
       }
       const group = EnvTools.id(this.env, "group");
       const voters = ids.slice(0, Constants.voters);
-      this.env.point(36);
       const own = yield* this.group.found(group, voters);
       if (!own.ok) {
         this.env.log(1404, { fault: own.fault });
@@ -140,6 +140,28 @@
     for (;;) yield* EnvTools.sleep(this.env, 3_600_000);
   }
 
+  /** An operator's word: go on from this voter alone. Refused while a majority of the voters lives. */
+  private *recover(body: { group: string; voter: string; by: string }): Task<Result<{ group: string; upTo: number }>> {
+    const { group, node } = this;
+    const voters = group.voters();
+    let living = 0;
+    for (const id of voters) {
+      const address = node.addressOf(id);
+      const state = node.membership.find(id)?.state;
+      const replied = address === undefined ? undefined : yield* node.rpc.ask<{ id: string }>(address, "control.status", {}, 500);
+      // another id at the same address: that voter's folder is gone
+      const there = replied?.ok ? replied.value.id === id : state === "alive" || state === "suspect";
+      if (id === node.self.id || there) living += 1;
+    }
+    if (living > voters.length / 2) return Fault.fail("conflict", "recover", node.self.id, `${living} of ${voters.length} voters live: they go on by themselves`);
+    // views that only the lost voters knew are on the stores' disks
+    const views: View[] = [];
+    for (const store of node.membership.alive("store")) {
+      const status = yield* node.rpc.ask<{ shards: { view: View | null }[] }>(store.address, "store.status", {}, 800);
+      if (status.ok) views.push(...status.value.shards.flatMap((copy) => copy.view ?? []));
+    }
+    return yield* group.recover(body, views);
+  }
   /** Voters that are gone are replaced by a caught-up standby, one change at a time. */
   private *dutyLoop(): Task<void> {
     for (;;) {
--- a/src/control/controlState.ts
+++ b/src/control/controlState.ts
@@ -24,12 +24,14 @@
 export type CalendarEntry = { id: string; due: number; version: number; fate: Fate; detail?: string; move: Move };
 export type Move =
   | { kind: "release"; pool: string; version: string; overMs: number }
+  | { kind: "rollback"; pool: string } // back to what was before the pool's last release
   | { kind: "drain"; district: string; until?: number }
   | { kind: "undrain"; district: string }
   | { kind: "retire"; store: string }
   | { kind: "manifest"; ifVersion: number; doc: Manifest };
 export type View = { shard: number; epoch: number; members: string[]; lead: string };
-export type Release = { version: string; startedAt: number; overMs: number };
+/** Which version of a pool new work goes to ("": any), and which was withdrawn: it gets none while others are there. */
+export type Release = { version: string; startedAt: number; overMs: number; withdrawn?: string; former?: Omit<Release, "former"> };
 export type Outcome = { tag: "done"; version: number } | { tag: "conflict"; version: number } | { tag: "refused"; detail: string };
 export type Decision = { index: number; subject: string; decision: string; cause: string };
 export type Command =
@@ -56,6 +58,7 @@
   changes: Record<string, Outcome>;
   changeOrder: string[];
   untold: Decision[];
+  epochFloor: number; // views of a recovered group begin above every epoch that the former could give
 };
 /** What every node is told of the control state. */
 export type ControlFrame = Pick<ControlState, "group" | "voters" | "manifest" | "policies" | "views" | "drained" | "retiring" | "releases"> & {
@@ -97,8 +100,21 @@
       if (fate === "failed") state.retiring = state.retiring.filter((store) => store !== move.store);
       break;
     case "release":
-      if (fate === "started") state.releases = { ...state.releases, [move.pool]: { version: move.version, startedAt: command.at, overMs: move.overMs } };
+      if (fate === "started") {
+        const { former: _older, ...former } = state.releases[move.pool] ?? { version: "", startedAt: 0, overMs: 0 };
+        state.releases = { ...state.releases, [move.pool]: { version: move.version, startedAt: command.at, overMs: move.overMs, former } };
+      }
+      break;
+    case "rollback": {
+      if (fate !== "finished") break;
+      const release = state.releases[move.pool];
+      if (release?.former) state.releases = { ...state.releases, [move.pool]: { ...release.former, startedAt: command.at, overMs: 0, withdrawn: release.version } };
+      else {
+        fate = "failed";
+        detail = `pool ${move.pool} has no release to take back`;
+      }
       break;
+    }
     case "manifest":
       if (fate === "finished") {
         if (move.ifVersion === state.manifest.version) state.manifest = { version: state.manifest.version + 1, doc: move.doc };
@@ -128,7 +144,7 @@
 export const ControlState = {
   empty: (): ControlState => ({
     group: "", voters: [], manifest: { version: 0, doc: { bindings: {} } }, policies: { version: 0, doc: [] },
-    calendar: {}, views: {}, drained: [], retiring: [], releases: {}, changes: {}, changeOrder: [], untold: [],
+    calendar: {}, views: {}, drained: [], retiring: [], releases: {}, changes: {}, changeOrder: [], untold: [], epochFloor: 0,
   }),
   /** @example ControlState.apply(state, 7, command).tag === "done" */
   apply(state: ControlState, index: number, command: Command): Outcome {
@@ -190,6 +206,24 @@
       }
     }
   },
+  /** How often a group was recovered from one voter: its name carries it. @example ControlState.generation("group-a+2") // 2 */
+  generation: (group: string): number => Number(/\+(\d+)$/.exec(group)?.[1] ?? 0),
+  /** Whether a group is what another became by a recovery. @example ControlState.supersedes("group-a+1", "group-a") // true */
+  supersedes: (group: string, former: string): boolean =>
+    group.replace(/\+\d+$/, "") === former.replace(/\+\d+$/, "") && ControlState.generation(group) > ControlState.generation(former),
+  /** The state that a lone voter goes on from by an operator's word. @example ControlState.recovered(state, 1_000_007, "c1", views, "ann") */
+  recovered(former: ControlState, index: number, voter: string, views: View[], by: string): ControlState {
+    const state = structuredClone(former);
+    const generation = ControlState.generation(state.group) + 1;
+    const lost = state.voters.filter((id) => id !== voter);
+    state.group = `${state.group.replace(/\+\d+$/, "")}+${generation}`;
+    state.voters = [voter];
+    state.epochFloor = generation * Constants.recoveredEpochs;
+    for (const view of views) if (view.epoch > (state.views[view.shard]?.epoch ?? 0)) state.views[view.shard] = view;
+    const detail = `recovered as ${state.group} from voter ${voter} alone; what only ${lost.join(", ")} had acknowledged is lost`;
+    decide(state, index, "control group", detail, `operator's word by ${by}`);
+    return state;
+  },
   /** @example ControlState.frame(state, 12).index // 12 */
   frame: (state: ControlState, index: number): ControlFrame => ({
     group: state.group, index, voters: state.voters, manifest: state.manifest, policies: state.policies,
--- a/src/control/group.ts
+++ b/src/control/group.ts
@@ -5,7 +5,7 @@
 import { TwoSlots } from "../env/twoSlots";
 import { Fault, Result } from "../core/fault";
 import { Rpc } from "../wire/rpc";
-import { Command, ControlState, Outcome } from "./controlState";
+import { Command, ControlState, Outcome, View } from "./controlState";
 
 type Entry = { index: number; term: number; command: Command };
 type Saved = { term: number; votedFor: string; baseIndex: number; baseTerm: number; base: ControlState; entries: Entry[] };
@@ -128,6 +128,43 @@
     }
   }
 
+  /**
+   * Goes on from this voter alone, by an operator's explicit word: everything on its disk counts as committed, the group
+   * gets a name of a later generation, and terms, indexes and epochs begin above all that the lost voters may have given.
+   * @example yield* group.recover({ group: "g", voter: "c1", by: "ann" }, views)
+   */
+  *recover(asked: { group: string; voter: string; by: string }, views: View[]): Task<Result<{ group: string; upTo: number }>> {
+    yield* Csp.take(this.diskToken);
+    try {
+      const refuse = (detail: string): Result<never> => Fault.fail("conflict", "recover", this.self, detail);
+      if (asked.group !== this.groupId()) return refuse(`this voter belongs to group ${this.groupId() || "none"}`);
+      if (asked.voter !== this.self || !this.voters().includes(this.self)) return refuse(`this is ${this.self}, voters are ${this.voters().join(", ")}`);
+      if (this.role === "lead" && this.holdsLead()) return refuse("the group has a lead");
+      const state = structuredClone(this.state);
+      for (const entry of this.entries.filter((each) => each.index > this.applied && each.index <= this.synced)) ControlState.apply(state, entry.index, entry.command);
+      const [term, baseIndex] = [this.term + Constants.recoveredIndexes, this.synced + Constants.recoveredIndexes];
+      const upTo = this.synced;
+      const saved: Saved = { term, votedFor: "", baseIndex, baseTerm: term, base: ControlState.recovered(state, baseIndex, this.self, views, asked.by), entries: [] };
+      const done = yield* this.begin(saved);
+      if (!done.ok) return done;
+      this.env.log(1308, { group: this.groupId(), voter: this.self, upTo });
+      return Fault.ok({ group: this.groupId(), upTo });
+    } finally {
+      Csp.offer(this.diskToken, true);
+    }
+  }
+  /** Everything anew from one state, on disk first. */
+  private *begin(saved: Saved): Task<Result<true>> {
+    const done = yield* this.slots.rotate(saved);
+    if (!done.ok) return done;
+    Object.assign(this, { term: saved.term, votedFor: saved.votedFor, entries: [], unsynced: [], baseIndex: saved.baseIndex, baseTerm: saved.baseTerm, base: saved.base });
+    this.state = structuredClone(saved.base);
+    this.applied = this.commit = this.synced = saved.baseIndex;
+    this.role = "follower";
+    this.hooks.applied(this.state, this.applied);
+    return done;
+  }
+
   private lastIndex = (): number => (this.entries.length > 0 ? this.entries[this.entries.length - 1].index : this.baseIndex);
   private termAt(index: number): number | undefined {
     if (index === this.baseIndex) return this.baseTerm;
@@ -407,7 +444,9 @@
     }
   }
   private *onAppend(body: Append): Task<Result<unknown>> {
-    if (this.founded() && body.group !== this.groupId()) return Fault.fail("invalid", "append", this.self, "another group's append");
+    // a group recovered by an operator's word takes in whoever belonged to what it was
+    const superseded = this.founded() && ControlState.supersedes(body.group, this.groupId());
+    if (this.founded() && body.group !== this.groupId() && !superseded) return Fault.fail("invalid", "append", this.self, "another group's append");
     if (this.slots.broken) return Fault.fail("disk", "append", this.self, "disk failed");
     yield* Csp.take(this.diskToken);
     try {
@@ -423,19 +462,9 @@
         this.unsynced = [];
       }
       if (body.whole && body.whole.index > this.lastIndex()) {
-        const saved: Saved = {
-          term: this.term, votedFor: this.votedFor, baseIndex: body.whole.index, baseTerm: body.whole.term, base: body.whole.state, entries: [],
-        };
-        const done = yield* this.slots.rotate(saved);
+        const done = yield* this.begin({ term: this.term, votedFor: this.votedFor, baseIndex: body.whole.index, baseTerm: body.whole.term, base: body.whole.state, entries: [] });
         if (!done.ok) return done;
-        this.entries = [];
-        this.baseIndex = saved.baseIndex;
-        this.baseTerm = saved.baseTerm;
-        this.base = saved.base;
-        this.state = structuredClone(saved.base);
-        this.applied = this.commit = this.synced = saved.baseIndex;
-        this.hooks.applied(this.state, this.applied);
-      }
+      } else if (superseded) return unmatched();
       if (body.prevIndex < this.baseIndex) return Fault.ok({ term: this.term, matched: true, match: this.baseIndex });
       if (this.termAt(body.prevIndex) !== body.prevTerm) return unmatched();
       const fresh = body.entries.filter((entry) => this.termAt(entry.index) !== entry.term);
--- a/src/control/views.ts
+++ b/src/control/views.ts
@@ -8,6 +8,7 @@
 import { View } from "./controlState";
 import { Group } from "./group";
 
+type Sealed = { tag: "sealed"; seq: number; lastEpoch: number; grantLeftMs: number } | { tag: "stopped" };
 type StoreStatus = { shards: CopyStatus[]; stopping: boolean; vouches: boolean; heardAt: number };
 
 /**
@@ -72,6 +73,13 @@
     if (!member) return this.env.mono() - this.group.leadSince > Constants.voterGoneMs;
     return member.state === "dead" || member.state === "left";
   }
+  private heardLately = (id: string): boolean => this.env.mono() - (this.statuses.get(id)?.heardAt ?? -Infinity) < 2 * Constants.statusPeriodMs;
+  /** Neither we nor any other member of the view heard from the lead for three renewals: it is not waited for. */
+  private leadSilent(view: View): boolean {
+    if (this.env.mono() - (this.statuses.get(view.lead)?.heardAt ?? this.env.mono()) < Constants.leadSilentMs) return false;
+    const others = view.members.filter((id) => id !== view.lead).map((id) => (this.heardLately(id) ? this.copyOf(id, view.shard) : undefined));
+    return others.length > 0 && others.every((copy) => copy !== undefined && copy.epoch === view.epoch && copy.leadSilentMs > Constants.leadSilentMs);
+  }
   private copyOf(id: string, shard: number): CopyStatus | undefined {
     return this.statuses.get(id)?.shards.find((copy) => copy.shard === shard);
   }
@@ -133,6 +141,7 @@
 
     let reason = "";
     if (gone.length > 0) reason = `members gone: ${gone.join(", ")}`;
+    else if (this.leadSilent(view)) reason = `lead silent, by control and the other members: ${view.lead}`;
     else if (broken.length > 0) reason = `disk failed at ${broken.join(", ")}`;
     else if (leaving.length > 0) reason = `members leaving: ${leaving.join(", ")}`;
     else if (failing.length > 0) reason = `members not syncing: ${failing.join(", ")}`;
@@ -187,19 +196,20 @@
     return true;
   }
 
-  /** The same asked of several members at once; who answered, and what. */
-  private *askAll<T>(ids: string[], verb: string, body: Record<string, unknown>, timeoutMs: number): Task<(T & { id: string })[]> {
+  /** The same asked of several members at once; who answered, and what. Those not waited for may answer as long as the others take. */
+  private *askAll<T>(ids: string[], verb: string, body: Record<string, unknown>, timeoutMs: number, waitFor: (id: string) => boolean = () => true): Task<(T & { id: string })[]> {
     const heard: (T & { id: string })[] = [];
-    const done = Csp.chan<true>(16);
+    const done = Csp.chan<string>(16);
     const views = this;
     for (const id of ids)
       Csp.go(this.env.scope, `${verb} at ${id}`, function* () {
         const address = views.node.addressOf(id);
         const replied = address ? yield* views.node.rpc.ask<T>(address, verb, body, timeoutMs) : undefined;
         if (replied?.ok) heard.push({ id, ...replied.value });
-        Csp.offer(done, true);
+        Csp.offer(done, id);
       });
-    for (let waited = 0; waited < ids.length; waited += 1) yield* Csp.take(done);
+    const awaited = new Set(ids.some(waitFor) ? ids.filter(waitFor) : ids);
+    while (awaited.size > 0) awaited.delete((yield* Csp.take(done))!);
     return heard;
   }
   /**
@@ -208,8 +218,11 @@
    */
   private *reconfigure(shard: number, reason: string, joiners: string[]): Task<boolean> {
     const view = this.group.state.views[shard];
-    const epoch = view.epoch + 1;
-    const sealed = yield* this.askAll<{ seq: number; lastEpoch: number; grantLeftMs: number }>(view.members, "shard.seal", { shard, epoch }, Constants.sealTimeoutMs);
+    const epoch = Math.max(view.epoch, this.group.state.epochFloor) + 1;
+    const startedAt = this.env.mono();
+    const silentMs = Math.round(Math.max(...view.members.map((id) => startedAt - (this.statuses.get(id)?.heardAt ?? startedAt))));
+    const answered = yield* this.askAll<Sealed>(view.members, "shard.seal", { shard, epoch }, Constants.sealTimeoutMs, (id) => this.heardLately(id));
+    const sealed = answered.flatMap((copy) => (copy.tag === "sealed" ? [copy] : []));
     const sealedAt = this.env.mono();
     this.env.point(39, { shard, joiners });
     if (sealed.length === 0) {
@@ -229,9 +242,15 @@
     this.env.point(36, { shard, joiners });
     const next = this.choose(view, level.ids, joiners);
     // the old lead has stopped if it sealed; else its grant ends with the first member that will not renew it
-    const leadSealed = sealed.some((copy) => copy.id === view.lead);
+    const leadSealed = answered.some((copy) => copy.id === view.lead);
     const grantLeftMs = leadSealed ? 0 : Math.min(...sealed.map((copy) => copy.grantLeftMs)) + 50;
-    return yield* this.propose({ shard, epoch, ...next }, reason, Math.max(0, grantLeftMs - (this.env.mono() - sealedAt)), joiners.filter((id) => next.members.includes(id)));
+    const levelledAt = this.env.mono();
+    const waitMs = Math.round(Math.max(0, grantLeftMs - (levelledAt - sealedAt)));
+    const stages = { silentMs, sealMs: Math.round(sealedAt - startedAt), levelMs: Math.round(levelledAt - sealedAt), grantWaitMs: waitMs };
+    const told = `${reason} (silent ${silentMs}, sealed in ${stages.sealMs}, levelled in ${stages.levelMs}, former grant waited for ${waitMs} ms)`;
+    const done = yield* this.propose({ shard, epoch, ...next }, told, waitMs, joiners.filter((id) => next.members.includes(id)));
+    if (done) this.env.log(1415, { shard, epoch, stages: { ...stages, commitMs: Math.round(this.env.mono() - levelledAt) } });
+    return done;
   }
   /** Members and lead of the next view, out of those that stand at the sealed end. */
   private choose(view: View, level: string[], joiners: string[]): { members: string[]; lead: string } {
--- a/src/core/chooser.ts
+++ b/src/core/chooser.ts
@@ -45,8 +45,10 @@
   /** Replicas that may get this work at all. @example chooser.eligible(wish).length */
   eligible(wish: Omit<Wish, "lane" | "prefix" | "exclude">): Replica[] {
     const control = wish.frame.control;
-    const inPool = Chooser.inPool(wish);
     const release = control?.releases[wish.pool];
+    const everyone = Chooser.inPool(wish);
+    const standing = everyone.filter((replica) => release?.withdrawn === undefined || replica.version !== release.withdrawn);
+    const inPool = standing.length > 0 ? standing : everyone;
     if (!release || !inPool.some((replica) => replica.version === release.version)) return inPool;
     const share = release.overMs <= 0 ? 1 : Math.min(1, (this.env.wall() - release.startedAt) / release.overMs);
     const released = this.env.random() < share;
--- a/src/env/twoSlots.ts
+++ b/src/env/twoSlots.ts
@@ -126,6 +126,8 @@
     return Fault.ok({ state: base.state, records });
   }
 
+  /** Whether the disk takes a write now. @example const probed = yield* slots.probe(); */
+  probe = (): Task<Result<true>> => this.env.disk.write(`${this.folder}/probe`, Buffer.from("probe"));
   /** On disk when this returns ok. @example yield* slots.append([record]) */
   *append(records: unknown[]): Task<Result<true>> {
     if (this.broken) return Fault.fail("disk", "append", this.env.name, "an earlier write failed");
--- a/src/membership/news.ts
+++ b/src/membership/news.ts
@@ -3,7 +3,7 @@
 import { Env, EnvTools } from "../env/env";
 import { Fault } from "../core/fault";
 import { Rpc } from "../wire/rpc";
-import { ControlFrame } from "../control/controlState";
+import { ControlFrame, ControlState } from "../control/controlState";
 import { Membership } from "./membership";
 
 /** One fact with an owner and a version; no value means it has ended for good. */
@@ -85,7 +85,8 @@
   }
   /** Takes a newer control frame, never an older one. @example news.offerFrame(frame); */
   offerFrame(frame: ControlFrame): boolean {
-    if (this.frame && (frame.group !== this.frame.group || frame.index <= this.frame.index)) return false;
+    const known = this.frame;
+    if (known && (frame.index <= known.index || (frame.group !== known.group && !ControlState.supersedes(frame.group, known.group)))) return false;
     this.frame = frame;
     this.frameAt = this.env.mono();
     this.env.point(21);
--- a/src/shard/shardCopy.ts
+++ b/src/shard/shardCopy.ts
@@ -16,8 +16,8 @@
 type Saved = { seq: number; lastEpoch: number; sealed: number; view: View | null; data: FrozenShard };
 type Pending = { put: Put; reply: Chan<Result<PutOutcome>>; enqueuedAt: number };
 export type CopyStatus = {
-  shard: number; epoch: number; sealed: number; role: "member" | "starting" | "lead" | "out"; seq: number; lastEpoch: number;
-  failing: string[]; wantsView: string; broken: boolean; frontier: number; lots: number; works: number;
+  shard: number; epoch: number; view: View | null; sealed: number; role: "member" | "starting" | "lead" | "out"; seq: number; lastEpoch: number;
+  failing: string[]; leadSilentMs: number; wantsView: string; broken: boolean; frontier: number; lots: number; works: number;
 };
 export type CopyHooks = {
   addressOf(id: string): string | undefined;
@@ -60,7 +60,8 @@
   private wake: Chan<true> = Csp.sliding(1);
   private token: Chan<true> = Csp.chan(1);
   private published = 0;
-  private readonly slots: TwoSlots;
+  private slots: TwoSlots;
+  private retryingDisk = false;
   private segmentWake: Chan<true> = Csp.sliding(1);
   private filling = "";
   private readers = new Set<Chan<true>>();
@@ -73,7 +74,7 @@
     private readonly rpc: Rpc,
     private readonly self: string,
     readonly shard: number,
-    folder: string,
+    private readonly folder: string,
     private readonly hooks: CopyHooks,
   ) {
     this.slots = new TwoSlots(env, folder, 2);
@@ -182,6 +183,33 @@
     this.env.log(1404, { shard: this.shard, fault });
     this.stopLead("disk failed");
   }
+  /**
+   * A disk that failed is tried again: what stands on it is read as after a start, and counts only once all of it was
+   * written and synced anew, since a failed sync says nothing of what the disk holds.
+   * @example yield* copy.retryDisk();
+   */
+  *retryDisk(): Task<void> {
+    if (!this.slots.broken || this.retryingDisk) return;
+    this.retryingDisk = true;
+    const copy = this;
+    yield* this.locked(function* () {
+      const slots = new TwoSlots(copy.env, copy.folder, 2);
+      const probed = yield* slots.probe();
+      if (!probed.ok) return;
+      copy.slots = slots;
+      Object.assign(copy, { seq: 0, applied: 0, lastEpoch: 0, appliedEpoch: 0, sealedInThisLife: 0, sinceFold: 0, view: undefined, tail: [], data: ShardState.empty(copy.segments), exists: false, role: "out" });
+      copy.segments.trimmed = copy.data.trimmed;
+      const opened = yield* copy.open();
+      const written = opened.ok && copy.exists ? yield* slots.rotate(copy.saved()) : opened;
+      if (!written.ok) {
+        slots.broken = true;
+        copy.role = "out";
+        return;
+      }
+      copy.env.log(1414, { shard: copy.shard, seq: copy.seq });
+    });
+    this.retryingDisk = false;
+  }
   private *foldIfLong(): Task<void> {
     const long = this.sinceFold >= Constants.shardLogKeep || this.slots.logBytes >= Constants.shardLogBytes;
     if (!long || this.applied !== this.seq) return;
@@ -240,9 +268,9 @@
     const copy = this;
     return yield* this.locked<Result<any>>(function* () {
       if (!copy.exists) return Fault.fail("notFound", "seal", copy.self, "no copy here");
-      if (copy.slots.broken) return Fault.fail("disk", "seal", copy.self, "disk failed");
+      // nothing of it counts, but its word that it does not lead spares the wait for its grant's end
+      if (copy.slots.broken) return Fault.ok({ tag: "stopped" });
       if (copy.sealed > body.epoch || (copy.view?.epoch ?? 0) >= body.epoch) return Fault.fail("conflict", "seal", copy.self, `sealed for ${copy.sealed}`);
-      const wasLead = copy.role === "lead" || copy.role === "starting";
       if (copy.sealed < body.epoch) {
         const done = yield* copy.write([{ tag: "seal", epoch: body.epoch }]);
         if (!done.ok) return done;
@@ -253,7 +281,7 @@
       copy.applyAll();
       copy.env.point(43);
       return Fault.ok({
-        seq: copy.seq, lastEpoch: copy.lastEpoch, viewEpoch: copy.view?.epoch ?? 0, wasLead,
+        tag: "sealed", seq: copy.seq, lastEpoch: copy.lastEpoch,
         grantLeftMs: Math.max(0, copy.grantedUntil - copy.env.mono()),
       });
     });
@@ -506,9 +534,10 @@
   status(): CopyStatus {
     const now = this.env.mono();
     return {
-      shard: this.shard, epoch: this.view?.epoch ?? 0, sealed: this.sealed, role: this.role, seq: this.seq, lastEpoch: this.lastEpoch,
-      failing: [...this.failing].filter(([, since]) => now - since > Constants.replicateTimeoutMs / 2).map(([id]) => id),
-      wantsView: this.wantsView, broken: this.slots.broken, frontier: this.data.frontier,
+      shard: this.shard, epoch: this.view?.epoch ?? 0, view: this.view ?? null, sealed: this.sealed, role: this.role, seq: this.seq, lastEpoch: this.lastEpoch,
+      failing: [...this.failing].filter(([, since]) => now - since > Constants.memberSilentMs).map(([id]) => id),
+      leadSilentMs: Math.round(now - (this.grantedUntil - Constants.shardGrantMs)),
+      wantsView: this.wantsView, broken: this.slots.broken || this.retryingDisk, frontier: this.data.frontier,
       lots: this.data.lots.size + this.data.segments.lots * Constants.segmentObjects.lots, works: this.data.works.size + this.data.segments.works * Constants.segmentObjects.works,
     };
   }
@@ -544,7 +573,10 @@
       shard: this.shard, epoch, view: this.view, prevSeq, prevEpoch: this.epochAt(prevSeq) ?? -2, entries, frontier: this.published, stable: this.applied,
     }, Constants.replicateTimeoutMs);
     if (!this.isLeadOf(epoch)) return "over";
-    if (!replied.ok) return "failed";
+    if (!replied.ok) {
+      this.failSince(id, askedAt, replied.fault);
+      return "failed";
+    }
     switch (replied.value.tag) {
       case "ok":
         this.grants.set(id, askedAt + Constants.shardGrantMs - Constants.shardGrantMarginMs);
@@ -561,8 +593,10 @@
         return "failed";
     }
   }
-  private failSince(id: string): void {
-    if (!this.failing.has(id)) this.failing.set(id, this.env.mono());
+  /** Since when a member has not synced what it was sent; one that takes no connection is half convicted at once. */
+  private failSince(id: string, askedAt: number, fault?: Fault): void {
+    const since = fault?.tag === "refused" ? askedAt - Constants.memberSilentMs / 2 : askedAt;
+    if (!this.failing.has(id)) this.failing.set(id, since);
   }
   private *lead(view: View, notBefore: number): Task<void> {
     const epoch = view.epoch;
@@ -573,10 +607,7 @@
     for (const id of this.others())
       Csp.go(this.env.scope, `grant of ${id}`, function* () {
         // every member stands where we stand: the view was committed only then
-        while (copy.isLeadOf(epoch) && (yield* copy.send(id, epoch, copy.seq, [])) !== "ok") {
-          copy.failSince(id);
-          yield* EnvTools.sleep(copy.env, 40);
-        }
+        while (copy.isLeadOf(epoch) && (yield* copy.send(id, epoch, copy.seq, [])) !== "ok") yield* EnvTools.sleep(copy.env, 40);
         Csp.offer(ready, true);
       });
     for (let heard = 0; heard < this.others().length; heard += 1) yield* Csp.take(ready);
@@ -601,8 +632,7 @@
       this.advance();
       for (const id of this.others())
         Csp.go(this.env.scope, "renew", function* () {
-          const sent = yield* copy.send(id, epoch, copy.applied, []);
-          if (sent === "failed" || sent === "behind") copy.failSince(id);
+          if ((yield* copy.send(id, epoch, copy.applied, [])) === "behind") copy.failSince(id, copy.env.mono());
         });
       yield* EnvTools.sleep(this.env, Constants.grantRenewMs);
     }
@@ -713,7 +743,7 @@
         return false;
       }
       if (replied?.ok && replied.value.tag === "broken") this.failing.set(id, -Infinity);
-      else this.failSince(id);
+      else this.failSince(id, askedAt, replied && !replied.ok ? replied.fault : undefined);
       yield* EnvTools.sleep(this.env, 40);
     }
   }
--- a/src/sim/scenarios.ts
+++ b/src/sim/scenarios.ts
@@ -300,6 +300,48 @@
       await fleet.run(3000);
     },
   },
+  {
+    name: "control-one-left", about: "two of three control voters lose their disks (odd seeds) or are cut off for long and come back (even); an operator goes on from the one left",
+    run: async (fleet) => {
+      const lead = fleet.controlLead();
+      const { group, voters } = fleet.controlGroup();
+      const left = voters.find((each) => each.name !== lead)!;
+      const lost = voters.filter((each) => each !== left).map((each) => each.name);
+      const standby = fleet.names("control").filter((name) => !voters.some((each) => each.name === name));
+      const recover = (body: Record<string, unknown>): Promise<{ status: number; body: any } | undefined> =>
+        fleet.operate("POST", "/v1/control/recover", { group, voter: left.id, acceptLoss: true, ...body }, {}, fleet.httpOf(left.name));
+      const refused = async (what: string, body: Record<string, unknown>, status: number): Promise<void> => {
+        const said = await recover(body);
+        if (said?.status !== status) throw new Error(`${what}: ${said?.status} ${JSON.stringify(said?.body)}`);
+      };
+      await fleet.change();
+      await refused("a living majority", {}, 412);
+      fleet.fault(`voters ${lost.join(" and ")} lost`, false);
+      if (fleet.seed % 2 === 1) {
+        for (const name of lost) fleet.kill(name, true);
+        await fleet.run(1000);
+        for (const name of lost) fleet.restart(name, { empty: true });
+      } else fleet.cutOff([...lost, ...standby]);
+      await fleet.run(6000);
+      await refused("another group", { group: "group-other" }, 412);
+      await refused("another member", { voter: fleet.storeOf.keys().next().value }, 404);
+      await refused("no word of the loss", { acceptLoss: undefined }, 400);
+      const said = await recover({});
+      if (said?.status !== 200) throw new Error(`recovery refused: ${JSON.stringify(said?.body)}`);
+      fleet.fault("recovered from one voter", true);
+      await refused("a second use", {}, 412);
+      await fleet.run(4000);
+      if ((await fleet.changeAt(fleet.httpOf(left.name))).outcome !== "acknowledged") throw new Error("no change taken after the recovery");
+      fleet.heal();
+      await fleet.run(12_000);
+      if ((await fleet.change()).outcome !== "acknowledged") throw new Error("no change taken once all were back");
+      await fleet.run(4000);
+      const after = fleet.controlGroup();
+      if (after.group !== `${group}+1` || after.voters.length !== 3) throw new Error(`group ${after.group} with ${after.voters.length} voters`);
+      const told = await fleet.operate("GET", "/v1/why/control%20group");
+      if (!JSON.stringify(told?.body ?? "").includes("recovered as")) throw new Error("the recovery is not in the ledger");
+    },
+  },
   {
     name: "control-cut-off", about: "the whole control group is cut off from everything else",
     run: async (fleet) => {
@@ -346,7 +388,7 @@
     },
   },
   {
-    name: "disk-full", about: "the busiest store's disk fills, and is freed",
+    name: "disk-full", about: "the busiest store's disk fills, is freed, and is taken up again by the store itself",
     run: async (fleet) => {
       const name = fleet.busiestStore();
       fleet.fault(`disk full at ${name}`, true);
@@ -354,10 +396,21 @@
       fleet.acts.push("disk full");
       await fleet.run(9000);
       fleet.disks.get(name)!.full = false;
-      fleet.kill(name);
-      await fleet.run(500);
-      fleet.restart(name);
-      await fleet.run(12_000);
+      await fleet.run(14_000);
+      fleet.expectInViews(name);
+    },
+  },
+  {
+    name: "disks-full", about: "the disks of all stores fill at once, and are freed; nobody starts anything again",
+    run: async (fleet) => {
+      fleet.fault("all stores' disks full", false);
+      for (const name of fleet.names("store")) fleet.disks.get(name)!.full = true;
+      fleet.acts.push("disks full");
+      await fleet.run(8000);
+      for (const name of fleet.names("store")) fleet.disks.get(name)!.full = false;
+      fleet.fault("disks freed", true);
+      await fleet.run(18_000);
+      for (const name of fleet.names("store")) fleet.expectInViews(name);
     },
   },
   {
@@ -371,12 +424,12 @@
       fleet.acts.push("sync errors");
       await fleet.change();
       await fleet.run(10_000);
-      for (const name of [store, control]) {
-        fleet.kill(name);
-        fleet.disks.get(name)!.failing = false;
-        fleet.restart(name);
-      }
-      await fleet.run(10_000);
+      fleet.disks.get(store)!.failing = false; // taken up again by the store itself
+      fleet.kill(control);
+      fleet.disks.get(control)!.failing = false;
+      fleet.restart(control);
+      await fleet.run(14_000);
+      fleet.expectInViews(store);
       await fleet.change();
       await fleet.run(3000);
     },
@@ -504,6 +557,26 @@
       await fleet.run(4000);
     },
   },
+  ...([false, true] as const).map((draining): Omit<Scenario, "number"> => ({
+    name: draining ? "district-lost-in-drain" : "district-lost",
+    about: `a district is lost whole${draining ? " while another is drained, under a crowd" : ""}, and comes back (odd seeds: with empty disks)`,
+    run: async (fleet) => {
+      const [first, other] = [...fleet.deployment.districts].sort(() => fleet.world.random() - 0.5);
+      if (draining) {
+        fleet.callers.load = 2;
+        fleet.notes.push(`drain: ${await fleet.move({ kind: "drain", district: other }, 1000)}`);
+      }
+      fleet.loseDistrict(first);
+      await fleet.run(15_000);
+      fleet.expectSpread(first);
+      if (draining) await fleet.move({ kind: "undrain", district: other }, 4000);
+      fleet.restoreDistrict(first, fleet.seed % 2 === 1);
+      await fleet.run(12_000);
+      fleet.callers.load = 1;
+      await fleet.run(6000);
+      fleet.expectSpread();
+    },
+  })),
   {
     name: "skew-within", about: "clocks are skewed within δ",
     run: async (fleet) => {
@@ -569,7 +642,7 @@
     },
   },
   {
-    name: "release", about: "a pool is released to a new version, replica by replica",
+    name: "release", about: "a pool is released to a new version, and the release is taken back",
     run: async (fleet) => {
       const pool = fleet.plan.replicas[0].pool;
       for (const replica of fleet.plan.replicas.filter((each) => each.pool === pool).slice(0, 3)) {
@@ -578,7 +651,19 @@
       await fleet.run(3000);
       const fate = await fleet.move({ kind: "release", pool, version: "v2", overMs: 5000 }, 12_000);
       if (!fate.startsWith("finished")) throw new Error(`release: ${fate}`);
-      await fleet.run(5000);
+      await fleet.run(4000);
+      const taken = (version: string, from: number): number =>
+        fleet.pastReplicas.filter((each) => each.settings.pool === pool && (each.settings.version === "v2") === (version === "v2"))
+          .reduce((sum, each) => sum + each.runs.filter((run) => run.at > from).length, 0);
+      const releasedAt = fleet.wall() - 2000;
+      if (taken("v2", releasedAt) === 0 || taken("v1", releasedAt) > 0) throw new Error("released, and work still went to the former version, or none to the new");
+      const back = await fleet.move({ kind: "rollback", pool }, 6000);
+      if (!back.startsWith("finished")) throw new Error(`rollback: ${back}`);
+      await fleet.run(4000);
+      const backAt = fleet.wall() - 2000;
+      if (taken("v1", backAt) === 0 || taken("v2", backAt) > 0) throw new Error("taken back, and work still went to the withdrawn version, or none to the former");
+      const again = await fleet.move({ kind: "rollback", pool }, 6000);
+      if (!again.startsWith("failed")) throw new Error(`a second rollback of one release: ${again}`);
     },
   },
   {
--- a/src/sim/simFleet.ts
+++ b/src/sim/simFleet.ts
@@ -151,6 +151,52 @@
     const groups = this.names("control").flatMap((name) => (this.running.get(name) as unknown as Control | undefined)?.group ?? []);
     return groups.sort((left, right) => right.applied - left.applied)[0]?.state.views ?? {};
   }
+  /** A store must be a member of some view again. @example fleet.expectInViews("store-1"); */
+  expectInViews(name: string): void {
+    const ids = [...this.storeOf].filter(([, store]) => store === name).map(([id]) => id);
+    if (!Object.values(this.views()).some((view) => view.members.some((id) => ids.includes(id)))) throw new Error(`${name} is in no view again`);
+  }
+  /** Every shard has its copies, each in a district of its own. @example fleet.expectSpread("north"); */
+  expectSpread(lost?: string): void {
+    const districts = this.deployment.districts.filter((district) => district !== lost).length;
+    const wanted = Math.min(Constants.copies, districts, this.names("store").filter((name) => this.planOf(name).settings.district !== lost).length);
+    for (const view of Object.values(this.views())) {
+      const held = new Set(view.members.map((id) => this.planOf(this.storeOf.get(id)!).settings.district));
+      if (view.members.length < wanted || held.size < wanted) throw new Error(`shard ${view.shard} has ${view.members.length} copies in ${[...held].join(", ")}`);
+    }
+  }
+  private inDistrict = (district: string): { processes: string[]; replicas: ReplicaSettings[] } => ({
+    processes: this.plan.processes.filter((each) => each.settings.district === district).map((each) => each.name),
+    replicas: this.plan.replicas.filter((each) => each.district === district),
+  });
+  /** Power is lost in a whole district. @example fleet.loseDistrict("north"); */
+  loseDistrict(district: string): void {
+    this.fault(`district ${district} lost`, true);
+    const { processes, replicas } = this.inDistrict(district);
+    for (const name of processes) this.kill(name, true);
+    for (const { id } of replicas) this.killReplica(id);
+  }
+  /** It comes back, its disks as they were or empty. @example fleet.restoreDistrict("north", true); */
+  restoreDistrict(district: string, empty: boolean): void {
+    const { processes, replicas } = this.inDistrict(district);
+    for (const name of processes) this.restart(name, { empty: empty && /^(store|control)/.test(name) });
+    for (const replica of replicas) this.startReplica(replica);
+  }
+  /** The newest control group's name and its voters. @example fleet.controlGroup().voters[0].name */
+  controlGroup(): { group: string; voters: { name: string; id: string }[] } {
+    type Control = { node: { self: { id: string } }; group: { applied: number; state: { group: string; voters: string[] } } };
+    const all = this.names("control").flatMap((name) => {
+      const control = this.running.get(name) as unknown as Control | undefined;
+      return control ? [{ name, id: control.node.self.id, control }] : [];
+    });
+    const { state } = [...all].sort((left, right) => right.control.group.applied - left.control.group.applied)[0].control.group;
+    return { group: state.group, voters: state.voters.flatMap((id) => all.filter((each) => each.id === id).map((each) => ({ name: each.name, id }))) };
+  }
+  /** A change read and made at one node. @example await fleet.changeAt(fleet.httpOf("control-1")); */
+  async changeAt(address: string): Promise<{ outcome: string; version: number }> {
+    const read = await this.operate("GET", "/v1/manifest", undefined, {}, address);
+    return read?.status === 200 ? this.changeFrom(read.body, 1, address) : { outcome: "unread", version: 0 };
+  }
   /** How far the synced log of a copy goes. */
   private lastOnDisk(name: string, shard: number): Place {
     const files = this.disks.get(name)!.under(`data/${name}/shard-${shard}`);
@@ -285,7 +331,8 @@
     this.restored("cuts healed");
     for (const window of this.windows) if (window.to === Infinity) window.to = this.wall() + 4000;
   }
-  private httpOf = (name: string): string => this.plan.processes.find((each) => each.name === name)?.settings.http ?? name;
+  /** @example fleet.httpOf("store-1") */
+  httpOf = (name: string): string => this.plan.processes.find((each) => each.name === name)?.settings.http ?? name;
   /** Notes a fault for the bounds in seconds. @example fleet.fault("store-1 lost", true); */
   fault(fault: string, heavy: boolean): void {
     this.history.add({ tag: "fault", at: this.wall(), fault, heavy });
--- a/src/store/storeNode.ts
+++ b/src/store/storeNode.ts
@@ -95,10 +95,15 @@
     }
   }
   private *watchDisk(): Task<void> {
+    let second = 0;
     for (;;) {
       const free = yield* this.env.disk.free(this.settings.data!);
       const low = free.ok && free.value < Constants.diskReserveBytes;
-      for (const copy of this.copies.values()) copy.diskLow = low;
+      second += 1;
+      for (const copy of this.copies.values()) {
+        copy.diskLow = low;
+        if (second % Constants.diskRetrySeconds === 0) Csp.go(this.env.scope, "try disk again", () => copy.retryDisk());
+      }
       yield* EnvTools.sleep(this.env, 1000);
     }
   }
--- a/test/sim1.test.ts
+++ b/test/sim1.test.ts
@@ -1,3 +1,3 @@
 import { SimSuite } from "./simSuite";
 
-SimSuite.part(1, 6);
+SimSuite.part(1, 7);
--- a/test/sim2.test.ts
+++ b/test/sim2.test.ts
@@ -1,3 +1,3 @@
 import { SimSuite } from "./simSuite";
 
-SimSuite.part(2, 6);
+SimSuite.part(2, 7);
--- a/test/sim3.test.ts
+++ b/test/sim3.test.ts
@@ -1,3 +1,3 @@
 import { SimSuite } from "./simSuite";
 
-SimSuite.part(3, 6);
+SimSuite.part(3, 7);
--- a/test/sim4.test.ts
+++ b/test/sim4.test.ts
@@ -1,3 +1,3 @@
 import { SimSuite } from "./simSuite";
 
-SimSuite.part(4, 6);
+SimSuite.part(4, 7);
--- a/test/sim5.test.ts
+++ b/test/sim5.test.ts
@@ -1,3 +1,3 @@
 import { SimSuite } from "./simSuite";
 
-SimSuite.part(5, 6);
+SimSuite.part(5, 7);
--- a/test/sim6.test.ts
+++ b/test/sim6.test.ts
@@ -1,3 +1,3 @@
 import { SimSuite } from "./simSuite";
 
-SimSuite.part(6, 6);
+SimSuite.part(6, 7);
--- /dev/null
+++ b/test/sim7.test.ts
@@ -0,0 +1,3 @@
+import { SimSuite } from "./simSuite";
+
+SimSuite.part(7, 7);
--- a/test/simSuite.ts
+++ b/test/simSuite.ts
@@ -24,7 +24,7 @@
  * The fixed set of simulated runs, shared out over test files so that they run side by side.
  *
  * @example
- * SimSuite.part(1, 6);
+ * SimSuite.part(1, 7);
  */
 export const SimSuite = {
   part(part: number, of: number): void {
