A request waits for room once, not once a round; ingresses and stores share one ordered wait

Lookups at an ingress waited by looking each 20 ms, in no order.

Ruled out: the ingress's own search for a lead (openPatienceMs), since the stores answered at once.

Change: Room, an ordered and bounded buffer a pool, woken by the end of a round and by news of replicas, used by stores and ingresses alike; the time for room is counted from the request's arrival, all rounds together. A stream that lost its replica after some pieces keeps its 5 s.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -96,6 +96,7 @@
   requestDeadlineMs: 10_000, // ms; when neither caller nor binding says
   lookupRounds: 3, // rounds; a safe lookup is tried on this many replicas
   liveBuffer: 64, // requests; waiting for room at one ingress, per class
+  resumeWaitMs: 5000, // ms; a stream that lost its replica after some pieces waits this long for another
   roomTurnMs: 50, // ms; the foremost that waits looks again this often, for what only the time brings
   liveWaitMs: 400, // ms; a request that would wait longer is refused at once
   retryAfterMs: 1000, // ms; least time told with busy
--- a/src/ingress/ingressNode.ts
+++ b/src/ingress/ingressNode.ts
@@ -1,11 +1,12 @@
 import { Constants } from "../constants";
 import { Csp, Task } from "../csp/csp";
 import { Env, EnvTools, HttpIn } from "../env/env";
-import { Chooser } from "../core/chooser";
+import { Chooser, Wish } from "../core/chooser";
 import { Fault, Result } from "../core/fault";
 import { Frame } from "../core/frame";
 import { Hash } from "../core/hash";
 import { Host } from "../core/host";
+import { Room } from "../core/room";
 import { Settings } from "../core/settings";
 import { Stamp } from "../core/stamp";
 import { Http } from "../adapters/http";
@@ -36,7 +37,7 @@
   private noteBatch = 0;
   private live = new Map<string, number>();
   private crowdTold = new Map<string, number>();
-  private waiting = new Map<string, number>();
+  private readonly room: Room;
   readonly id: string;
   readonly rpc: Rpc;
   readonly putter: Putter;
@@ -53,6 +54,7 @@
     this.rpc = new Rpc(env, settings.cluster, this.id);
     this.putter = new Putter(env, this.rpc, this.id, () => this.current);
     this.chooser = new Chooser(env);
+    this.room = new Room(env, this.chooser, (pool) => this.crowd(pool));
   }
 
   /** @example yield* IngressNode.start(env, settings) */
@@ -113,6 +115,7 @@
       // an agent that was started again may know less than we do: its word counts once it has caught up
       this.current = { ...rest, control: newest, fresh: rest.fresh && controlIndex >= (newest?.index ?? 0) };
       this.fedAt = askedAt;
+      this.room.changed();
     }
   }
   private *watchClock(): Task<void> {
@@ -214,31 +217,25 @@
     const exclude = new Set<string>();
     let sent = false;
     let last: Fault | undefined;
-    let waited = 0;
+    const startedAt = this.env.mono();
     for (let round = 1; round <= Constants.lookupRounds; ) {
       const left = until - this.env.mono();
       if (left <= 0) break;
-      const wish = { frame: this.current, pool: binding.pool, binding: name, caller, kind: binding.kind, prefix: "", lane: "live" as const, exclude };
-      const chosen = this.chooser.choose(wish);
+      const make = (): Wish => ({ frame: this.current, pool: binding.pool, binding: name, caller, kind: binding.kind, prefix: "", lane: "live", exclude });
+      const open = this.chooser.eligible(make()).some((replica) => !exclude.has(replica.key));
+      const patience = open ? Math.min(left, Constants.liveWaitMs - (this.env.mono() - startedAt)) : 0;
+      const chosen = yield* this.room.take(make, accepted.order, startedAt, patience);
       if (!chosen) {
-        if (exclude.size > 0 && sent) break;
-        const queued = this.waiting.get(binding.pool) ?? 0;
-        this.crowd(binding.pool);
-        if (waited >= Constants.liveWaitMs || queued >= Constants.liveBuffer || this.chooser.eligible(wish).length === 0) {
-          if (sent) break;
-          return Fault.busy("choose", this.id, `no room in pool ${binding.pool}`, Math.round(Constants.retryAfterMs * (0.8 + 0.4 * this.env.random())));
-        }
-        this.waiting.set(binding.pool, queued + 1);
-        yield* EnvTools.sleep(this.env, 20);
-        this.waiting.set(binding.pool, this.waiting.get(binding.pool)! - 1);
-        waited += 20;
-        continue;
+        if (sent) break;
+        return Fault.busy("choose", this.id, `no room in pool ${binding.pool}`, this.room.retryAfterMs(binding.pool));
+      }
+      if (!this.slab.holds(ticket)) {
+        this.room.leave(chosen, true);
+        return Fault.fail("broken", "lookup", "caller", "caller went away");
       }
-      if (!this.slab.holds(ticket)) return Fault.fail("broken", "lookup", "caller", "caller went away");
-      this.chooser.begin(chosen);
       const roundMs = round < Constants.lookupRounds ? Math.min(left, Math.max(200, accepted.deadlineMs / Constants.lookupRounds)) : left;
       const replied = yield* ReplicaHttp.single(this.env, chosen, { path: binding.path, id, round, body, pieces: [], deadlineMs: roundMs, safe: true });
-      this.chooser.end(chosen, replied.ok || replied.fault.step === "deliver");
+      this.room.leave(chosen, replied.ok || replied.fault.step === "deliver");
       if (replied.ok) return replied;
       last = replied.fault;
       exclude.add(chosen.key);
--- a/src/sim/scenarios.ts
+++ b/src/sim/scenarios.ts
@@ -70,6 +70,26 @@
       await fleet.run(6000);
     },
   },
+  {
+    name: "overload", about: "many times what the replicas can carry: refusals at once, live work ahead of lots", load: 1,
+    run: async (fleet) => {
+      await fleet.run(3000);
+      fleet.callers.load = 16;
+      const from = fleet.wall();
+      await fleet.run(7000);
+      const to = fleet.wall();
+      fleet.callers.load = 1;
+      await fleet.run(9000);
+      const busies = fleet.history.of("busy").filter((seen) => seen.at > from && seen.at < to).map((seen) => seen.tookMs).sort((left, right) => left - right);
+      if (busies.length < 50) throw new Error(`only ${busies.length} refusals: nothing was overloaded`);
+      const slow = busies[Math.floor(busies.length * 0.95)];
+      if (slow > 1000) throw new Error(`one refusal in twenty was told after more than ${slow.toFixed(0)} ms`);
+      const runs = fleet.pastReplicas.flatMap((replica) => replica.runs).filter((run) => run.at > from + 1500 && run.at < to);
+      const items = runs.filter((run) => run.id.includes("/")).length;
+      fleet.notes.push(`${busies.length} refusals, 95 of 100 within ${slow.toFixed(0)} ms; ${items} items of lots among ${runs.length} runs`);
+      if (items > runs.length / 10) throw new Error(`${items} of ${runs.length} runs were items of lots while live work was refused`);
+    },
+  },
   {
     name: "replicas-crash", about: "a third of the replicas crash, and come back",
     run: async (fleet) => {
--- a/src/store/work.ts
+++ b/src/store/work.ts
@@ -5,6 +5,7 @@
 import { Chooser, Wish } from "../core/chooser";
 import { Fault, Result } from "../core/fault";
 import { Replica } from "../core/frame";
+import { Room } from "../core/room";
 import { Node } from "../core/node";
 import { Stamp } from "../core/stamp";
 import { Binding } from "../control/controlState";
@@ -14,7 +15,6 @@
 
 /* eslint-disable @typescript-eslint/no-explicit-any */
 type OpenBody = { stamp: Stamp; work: Omit<Held, "state" | "round" | "replica" | "owner" | "pieces" | "outcome" | "stamp" | "version" | "closedAt">; caller: string; cause: Cause };
-type Waiter = { order: number; time: number; wake: Chan<true> };
 
 /**
  * What a store does for the shards it leads: streams, single requests that may not be repeated, items of lots.
@@ -26,11 +26,11 @@
  * work.start();
  */
 export class Work {
+  private readonly room: Room;
   private takingUp = new Set<string>();
   private running = new Map<string, true>(); // request ids and lot/item
   private opening = new Map<string, Chan<true>>();
   private changed = new Map<string, Chan<true>[]>(); // readers of a request
-  private waiters = new Map<string, Waiter[]>(); // live work waiting for room, by pool
   private openLots = new Map<string, number>(); // lot id → shard, for the shards we lead
   private lotsInFlight = new Map<string, number>(); // by pool
   private liveInFlight = new Map<string, number>();
@@ -44,7 +44,10 @@
     private readonly putter: Putter,
     private readonly chooser: Chooser,
     private readonly copies: Map<number, ShardCopy>,
-  ) {}
+  ) {
+    this.room = new Room(env, chooser, (pool) => this.crowd(pool));
+    node.news.watch(() => this.room.changed());
+  }
   /** @example work.start(); */
   start(): void {
     EnvTools.keep(this.env, this.env.scope, "lot dispatch", () => this.dispatchLoop());
@@ -66,51 +69,14 @@
   private wish(binding: Binding, name: string, kind: string, caller: string, body: string, lane: Wish["lane"], exclude: Set<string>): Wish {
     return { frame: this.node.frame(), pool: binding.pool, binding: name, caller, kind, prefix: binding.kind === "stream" ? body.slice(0, binding.prefixBytes) : "", lane, exclude };
   }
-  /** Waits its turn, in policy order, for room; undefined when there is none in time. */
-  private *room(make: () => Wish, order: number, time: number, withinMs: number): Task<Replica | undefined> {
-    const first = make();
-    const pool = first.pool;
-    const queue = this.waiters.get(pool) ?? [];
-    this.waiters.set(pool, queue);
-    const chosen = queue.length === 0 ? this.chooser.choose(first) : undefined;
-    if (chosen) {
-      this.chooser.begin(chosen);
-      return chosen;
-    }
-    this.crowd(pool);
-    if (queue.length >= Constants.liveBuffer || withinMs <= 0) return undefined;
-    const waiter: Waiter = { order, time, wake: Csp.sliding(1) };
-    queue.push(waiter);
-    queue.sort((left, right) => left.order - right.order || left.time - right.time);
-    const until = this.env.mono() + withinMs;
-    try {
-      while (this.env.mono() < until) {
-        yield* EnvTools.takeWithin(this.env, waiter.wake, Math.min(50, until - this.env.mono()));
-        if (queue[0] !== waiter) continue;
-        const replica = this.chooser.choose(make());
-        if (replica) {
-          this.chooser.begin(replica);
-          return replica;
-        }
-      }
-      return undefined;
-    } finally {
-      queue.splice(queue.indexOf(waiter), 1);
-      if (queue[0]) Csp.offer(queue[0].wake, true);
-    }
-  }
+  /** What is left of the time that a request may wait for room, all its rounds together: past it, it is refused at once. */
+  private patience = (life: string): number => Constants.liveWaitMs - (this.env.wall() - Stamp.parse(life)!.time);
   private crowd(pool: string): void {
     const now = this.env.mono();
     if (now - (this.crowdedAt.get(pool) ?? -Infinity) > 200) this.node.news.tell(`crowd/${this.node.self.id}/${pool}`, { pool }, Constants.lotCrowdHoldMs, true);
     this.crowdedAt.set(pool, now);
     this.window.set(pool, 0);
   }
-  private leave(pool: string, replica: Replica, lively: boolean): void {
-    this.chooser.end(replica, lively);
-    const queue = this.waiters.get(pool);
-    if (queue?.[0]) Csp.offer(queue[0].wake, true);
-  }
-
   /** A request comes in from an ingress. The reply "busy" means that nothing was put. @example yield* work.open(copy, body) */
   *open(copy: ShardCopy, body: OpenBody): Task<Result<any>> {
     const id = body.work.id;
@@ -129,10 +95,10 @@
     try {
       const exclude = new Set<string>();
       const make = (): Wish => this.wish(binding, body.work.binding, binding.kind, body.caller, body.work.body, "live", exclude);
-      const replica = yield* this.room(make, body.work.order, body.stamp.time, Math.min(Constants.liveWaitMs, body.work.deadlineAt - this.env.wall()));
+      const replica = yield* this.room.take(make, body.work.order, body.stamp.time, Math.min(this.patience(body.work.life), body.work.deadlineAt - this.env.wall()));
       if (!replica) {
         this.counts.busies += 1;
-        return Fault.busy("open", this.node.self.id, `no room in pool ${binding.pool}`, this.retryAfter(binding.pool));
+        return Fault.busy("open", this.node.self.id, `no room in pool ${binding.pool}`, this.room.retryAfterMs(binding.pool));
       }
       const claimedAt = this.env.mono();
       const ops: Op[] = [{ op: "open", work: body.work }, { op: "claim", id, round: 1, replica: replica.key, owner: this.node.self.id }];
@@ -151,7 +117,7 @@
       this.env.point(51);
       if (!put.ok || put.value.tag !== "done") {
         this.running.delete(id);
-        this.leave(binding.pool, replica, true);
+        this.room.leave(replica, true);
         if (!put.ok) return put;
         return Fault.ok(put.value.tag === "exists" ? put.value : { tag: "exists", same: false, state: "refused" });
       }
@@ -162,10 +128,6 @@
       done.close();
     }
   }
-  private retryAfter(pool: string): number {
-    const waiting = this.waiters.get(pool)?.length ?? 0;
-    return Math.round(Constants.retryAfterMs * (1 + waiting / 8) * (0.8 + 0.4 * this.env.random()));
-  }
   /** Makes sure that a request that was given up on can never run. @example yield* work.refuse(copy, { id, stamp }) */
   *refuse(copy: ShardCopy, body: { id: string; stamp: Stamp }): Task<Result<any>> {
     for (let busy = this.opening.get(body.id); busy; busy = this.opening.get(body.id)) yield* Csp.take(busy);
@@ -263,12 +225,12 @@
           before = [{ op: "release", id, round, why }];
         }
         const make = (): Wish => this.wish(binding, work.binding, binding.kind, caller, work.body, "live", exclude);
-        const next: Replica | undefined = live() > 0 ? yield* this.room(make, work.order, this.env.wall(), Math.min(live(), pieces.length > 0 ? 5000 : Constants.liveWaitMs)) : undefined;
+        const next: Replica | undefined = live() > 0 ? yield* this.room.take(make, work.order, this.env.wall(), Math.min(live(), pieces.length > 0 ? Constants.resumeWaitMs : this.patience(work.life))) : undefined;
         if (!next) {
           if (pieces.length > 0) {
             const released = before.length > 0 ? before : [];
             yield* this.put(shard, `close-${id}-${work.life}-${round}`, [...released, { op: "claim", id, round: round + 1, replica: "", owner: this.node.self.id }, { op: "close", id, round: round + 1, state: "failed", outcome: JSON.stringify({ detail: "no replica to go on with" }) }], { note: "failed" }, 20_000);
-          } else yield* close("refused", JSON.stringify({ detail: "no replica would take it", retryAfterMs: this.retryAfter(pool) }), before);
+          } else yield* close("refused", JSON.stringify({ detail: "no replica would take it", retryAfterMs: this.room.retryAfterMs(pool) }), before);
           return;
         }
         replica = next;
@@ -276,7 +238,7 @@
         round += 1;
         const claimed = yield* this.put(shard, `claim-${id}-${work.life}-${round}-${this.node.self.id}`, [...before, { op: "claim", id, round, replica: next.key, owner: this.node.self.id }], {}, 10_000);
         if (!claimed.ok || claimed.value.tag !== "done") {
-          this.leave(pool, next, true);
+          this.room.leave(next, true);
           return;
         }
       }
@@ -288,7 +250,7 @@
   }
 
   private *deliver(id: string, shard: number, work: OpenBody["work"], binding: Binding, caller: string, replica: Replica, round: number, pieces: string[], claimedAt: number, leftMs: number): Task<Result<{ final: boolean; why: string; unsent: boolean }>> {
-    const end = (lively: boolean): void => this.leave(binding.pool, replica, lively);
+    const end = (lively: boolean): void => this.room.leave(replica, lively);
     const sorry = (why: string, unsent: boolean): Result<{ final: boolean; why: string; unsent: boolean }> => Fault.ok({ final: false, why, unsent });
     // a claim that grew old (a freeze) is given back: by now the duty may be another's
     if (this.env.mono() - claimedAt > Constants.shardGrantMs / 2 || leftMs <= 0 || !this.stillEligible(replica, work.binding, binding.kind, caller, binding.pool)) {
@@ -541,7 +503,7 @@
     const claimedAt = this.env.mono();
     const claimed = yield* this.put(shard, `claim-${name}-${round}-${this.node.self.id}`, [{ op: "itemClaim", lot: lotId, item: at, round, replica: replica.key, owner: this.node.self.id }], { manifest: this.node.frame().control?.manifest.version, view: this.copies.get(shard)?.view?.epoch }, 2500);
     if (!claimed.ok || claimed.value.tag !== "done") {
-      this.chooser.end(replica, true);
+      this.room.leave(replica, true);
       // its fate may be unknown; nothing was delivered, so giving it back is right either way
       if (!claimed.ok) yield* this.put(shard, `release-${name}-${round}`, [{ op: "itemRelease", lot: lotId, item: at, round, why: "claim not confirmed in time" }], {}, 10_000);
       return false;
@@ -551,14 +513,14 @@
     const lot = copy?.data.lots.get(lotId);
     const stale = this.env.mono() - claimedAt > Constants.shardGrantMs / 2 || !copy?.holdsGrant() || !lot || lot.ended || !this.stillEligible(replica, bindingName, "item", "", binding.pool);
     if (stale) {
-      this.chooser.end(replica, true);
+      this.room.leave(replica, true);
       yield* this.put(shard, `release-${name}-${round}`, [{ op: "itemRelease", lot: lotId, item: at, round, why: "lot ended, replica left, or the claim was too old" }], {}, 10_000);
       return false;
     }
     this.counts.items += 1;
     const replied = yield* ReplicaHttp.single(this.env, replica, { path: binding.path, id: name, round, body, pieces: [], deadlineMs: binding.deadlineMs, safe: binding.safe });
     this.env.point(56);
-    this.chooser.end(replica, replied.ok || replied.fault.step === "deliver");
+    this.room.leave(replica, replied.ok || replied.fault.step === "deliver");
     let op: Op;
     if (replied.ok) op = { op: "itemResult", lot: lotId, item: at, round, state: replied.value.status < 400 ? "done" : "failed", result: replied.value.body };
     else if (replied.fault.tag === "refused" || binding.safe) op = { op: "itemRelease", lot: lotId, item: at, round, why: replied.fault.detail };
