--- a/src/shard/segments.ts
+++ b/src/shard/segments.ts
@@ -65,7 +65,7 @@
  *
  * @example
  * const segments = new Segments(env, "data/shard-3");
- * yield* segments.open({ works: 2, lots: 1, ledger: 4 }, []);
+ * yield* segments.open({ works: 2, lots: 1, ledger: 4 }, { works: 0, lots: 0, ledger: 0 }, []);
  * segments.find("lots", "lot-17")?.state; // "finished"
  */
 export class Segments {
@@ -82,7 +82,7 @@
   private name = (kind: SegmentKind, number: number, part: "seg" | "idx"): string => `${kind}-${number}.${part}`;
   private path = (kind: SegmentKind, number: number, part: "seg" | "idx"): string => `${this.folder}/${this.name(kind, number, part)}`;
 
-  /** Takes up the indexes of so many segments; those still in memory are given along. @example yield* segments.open(counts, sealing) */
+  /** Takes up the indexes of so many segments; those still in memory are given along. @example yield* segments.open(counts, trimmed, sealing) */
   *open(counts: SegmentCounts, trimmed: SegmentCounts, sealing: Sealing[]): Task<Result<true>> {
     this.indexes = { works: [], lots: [], ledger: [] };
     this.tables = { works: new IdTable(), lots: new IdTable() };
