--- /dev/null
+++ b/src/adapters/directHttp.ts
@@ -0,0 +1,59 @@
+import { Constants } from "../constants";
+import { Task } from "../csp/csp";
+import { Env, EnvTools, HttpReply } from "../env/env";
+import { Fault, Result } from "../core/fault";
+import { Replica } from "../core/frame";
+import { HeaderNames } from "./headerNames";
+
+/** A request that is passed on as it is: target is path and query, headers are the end-to-end ones. */
+export type Direct = {
+  method: string; target: string; headers: Record<string, string>; body: Buffer;
+  id: string; remainingMs: number; after: number; order: number;
+};
+export type DirectReply = { status: number; headers: Record<string, string>; reply: HttpReply };
+
+const perConnection = new Set(["connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "content-length", "expect"]);
+
+/**
+ * Requests passed to a replica without a change of method, path and body. The fault tells whether it may have run:
+ * "refused" means that it provably has not.
+ *
+ * @example
+ * const opened = yield* DirectHttp.open(env, names, replica, direct, 2000);
+ */
+export const DirectHttp = {
+  /** Headers without those of one connection. @example DirectHttp.endToEnd(incoming.headers) */
+  endToEnd(headers: Record<string, string>): Record<string, string> {
+    const named = (headers.connection ?? "").toLowerCase().split(",").map((name) => name.trim());
+    const kept: Record<string, string> = {};
+    for (const [name, value] of Object.entries(headers))
+      if (!perConnection.has(name.toLowerCase()) && !named.includes(name.toLowerCase())) kept[name] = value;
+    return kept;
+  },
+  /** The head of the reply, its id checked. @example yield* DirectHttp.open(env, names, replica, direct, 2000) */
+  *open(env: Env, names: HeaderNames, replica: Replica, direct: Direct, headWithinMs: number): Task<Result<DirectReply>> {
+    const headers: Record<string, string> = { ...direct.headers };
+    headers[names.requestId] = direct.id;
+    headers[names.remainingMs] = String(Math.max(1, Math.floor(direct.remainingMs)));
+    headers[names.target] = replica.instance;
+    headers[names.order] = String(direct.order);
+    if (direct.after > 0) headers[names.lastPiece] = String(direct.after);
+    const replied = yield* env.http(replica.address, {
+      method: direct.method, path: direct.target, headers, body: direct.body, timeoutMs: Math.max(1, headWithinMs), connections: replica.connections,
+    });
+    if (!replied.ok) return replied;
+    const reply = replied.value;
+    if (reply.headers[names.notRun] !== undefined || reply.status === 421) {
+      reply.finish();
+      return Fault.fail("refused", "deliver", replica.id, `replica replied ${reply.status}: not run`);
+    }
+    if (reply.headers[names.requestId] !== direct.id) {
+      reply.abort();
+      return Fault.fail("broken", "check reply", replica.id, "the reply is another request's");
+    }
+    return Fault.ok({ status: reply.status, headers: DirectHttp.endToEnd(reply.headers), reply });
+  },
+  /** The whole body, or undefined if it was cut, too long or too slow. @example yield* DirectHttp.whole(env, opened, 500) */
+  whole: (env: Env, opened: DirectReply, withinMs: number): Task<Buffer | undefined> =>
+    EnvTools.bytesOf(env, opened.reply, Constants.replyLimitBytes, withinMs),
+};
--- a/src/control/controlNode.ts
+++ b/src/control/controlNode.ts
@@ -5,6 +5,7 @@
 import { Fault, Result } from "../core/fault";
 import { Node } from "../core/node";
 import { Settings } from "../core/settings";
+import { Shapes } from "../core/shapes";
 import { OperatorHttp } from "../adapters/operatorHttp";
 import { Putter } from "../store/putter";
 import { Calendar } from "./calendar";
@@ -40,7 +41,7 @@
   }
 
   /** @example yield* ControlNode.start(env, settings) */
-  static *start(env: Env, settings: Settings): Task<Result<ControlNode>> {
+  static *start(env: Env, settings: Settings, shapes: Shapes = {}): Task<Result<ControlNode>> {
     const started = yield* Node.start(env, settings, "control");
     if (!started.ok) return started;
     const control = new ControlNode(env, settings, started.value);
@@ -74,6 +75,10 @@
       ledgerSource: control.putter,
     });
     if (!http.ok) return http;
+    for (const surface of shapes.control?.(control) ?? []) {
+      const opened = yield* env.serveHttp(surface.address, surface.serve);
+      if (!opened.ok) return opened;
+    }
     return Fault.ok(control);
   }
   /** @example control.metrics().is_lead */
--- a/src/control/controlState.ts
+++ b/src/control/controlState.ts
@@ -8,9 +8,34 @@
   deadlineMs: number;
   continues: "exact" | "no"; // whether a replica can go on exactly after given pieces
   prefixBytes: number; // how much of the prompt decides affinity
+  host?: string; // with prefix: reached by this Host header and the longest path prefix, method, path and body passed on as they are
+  prefix?: string; // begins and ends with a slash
+  split?: { pool: string; weight: number }[]; // instead of pool: shares of the work by weight
+  targetMs?: number; // the time inside which a reply is worth most; of a stream, to its first piece
+  order?: number; // who goes first at replicas and in buffers: lower before higher
+  rounds?: number; // replicas that one request may be sent to, at most
+  pieceGapMs?: number; // the longest pause between pieces that still counts as in time
+  affinity?: boolean; // whether prompts share prefixes worth keeping together
+  completionMs?: number; // item: all results of a lot are due so long after it was handed in
+  giveUpMs?: number; // item: so long after that an item may be given up
+  maxWaitingTokens?: number; // item: tokens waiting over all nodes, at most; 0 or absent: no limit
+  origin?: unknown; // the operator's own form of this binding, kept as it was given
 };
+/** What the operator says of a pool of replicas. */
+export type Pool = {
+  probePath?: string;
+  connections?: number; // a replica takes from all senders together, at most
+  warmMs?: number;
+  warmPerSecond?: number; // requests a second that a cold replica bears, from all senders together; 0 or absent: no limit
+  engine?: { slots: number; memoryTokens: number };
+  origin?: unknown;
+};
+export type Limits = { headerBytes?: number; bodyBytes?: number; headerMs?: number; idleMs?: number };
 export type Manifest = {
   bindings: Record<string, Binding>;
+  pools?: Record<string, Pool>;
+  limits?: Limits;
+  origin?: unknown; // the rest of the operator's own form
   clock?: { deltaMs: number; epsilonMs: number; bigDeltaMs: number };
   retention?: { lotsMs?: number; requestsMs?: number; ledgerMs?: number }; // none: kept for good
 };
--- a/src/core/daemon.ts
+++ b/src/core/daemon.ts
@@ -2,6 +2,8 @@
 import { ControlNode } from "../control/controlNode";
 import { Fault, Result } from "./fault";
 import { Settings } from "./settings";
+import { ownHeaderNames } from "../adapters/headerNames";
+import { Shapes } from "./shapes";
 import { Task } from "../csp/csp";
 import { Env } from "../env/env";
 import { IngressNode } from "../ingress/ingressNode";
@@ -16,16 +18,16 @@
  * if (running.ok) yield* running.value.stop();
  */
 export const Daemon = {
-  *start(env: Env, settings: Settings): Task<Result<Running>> {
+  *start(env: Env, settings: Settings, shapes: Shapes = {}): Task<Result<Running>> {
     switch (settings.program) {
       case "agent":
         return yield* AgentNode.start(env, settings);
       case "ingress":
-        return yield* IngressNode.start(env, settings);
+        return yield* IngressNode.start(env, settings, shapes);
       case "store":
-        return yield* StoreNode.start(env, settings);
+        return yield* StoreNode.start(env, settings, shapes.names ?? ownHeaderNames);
       case "control":
-        return yield* ControlNode.start(env, settings);
+        return yield* ControlNode.start(env, settings, shapes);
       default: {
         const never: never = settings.program;
         return Fault.fail("invalid", "start", String(never), "unknown program");
--- a/src/core/node.ts
+++ b/src/core/node.ts
@@ -72,7 +72,7 @@
       }
     }
     const self: Member = {
-      id, program, district: settings.district, address: settings.address, http: settings.http,
+      id, program, ...(settings.name ? { name: settings.name } : {}), district: settings.district, address: settings.address, http: settings.http,
       incarnation: Math.floor(env.wall()), state: "alive",
     };
     const rpc = new Rpc(env, settings.cluster, id);
--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -11,7 +11,9 @@
   seeds?: string[]; // all but ingress, which has its agent
   data?: string; // data folder: store and control
   agent?: string; // ingress: its agent's address
-  founders?: string[]; // control: every founder's address, our own among them
+  founders?: string[]; // control: every founder's address, our own among them; none: never founds a group
+  name?: string; // the machine's name, by which operators know it
+  losses?: number; // machines with a disk that may be lost at once: 2 x losses + 1 voters, losses + 2 copies
   log?: "debug" | "info" | "warn" | "error";
 };
 const address = { type: "string", pattern: "^[0-9.]+:[0-9]{1,5}$" };
@@ -29,7 +31,9 @@
     seeds: { type: "array", items: address, minItems: 1, maxItems: 5 },
     data: { type: "string", minLength: 1 },
     agent: address,
-    founders: { type: "array", items: address, minItems: 1, maxItems: 7, uniqueItems: true },
+    name: { type: "string", minLength: 1, maxLength: 120 },
+    losses: { type: "integer", minimum: 0, maximum: 3 },
+    founders: { type: "array", items: address, maxItems: 7, uniqueItems: true },
     log: { enum: ["debug", "info", "warn", "error"] },
   },
   allOf: [
--- /dev/null
+++ b/src/core/shapes.ts
@@ -0,0 +1,19 @@
+import type { ControlNode } from "../control/controlNode";
+import type { Task } from "../csp/csp";
+import type { HttpIn } from "../env/env";
+import type { HeaderNames } from "../adapters/headerNames";
+import type { IngressNode } from "../ingress/ingressNode";
+
+/** A further HTTP surface of a process, at an address of its own. */
+export type Surface = { address: string; serve: (incoming: HttpIn) => Task<void> };
+/**
+ * What another outside shape brings: names of headers, and surfaces beside the product's own.
+ *
+ * @example
+ * Daemon.start(env, settings, { names, ingress: (node) => [{ address: "10.0.0.5:80", serve: shape.serve(node) }] });
+ */
+export type Shapes = {
+  names?: HeaderNames;
+  ingress?: (ingress: IngressNode) => Surface[];
+  control?: (control: ControlNode) => Surface[];
+};
--- a/src/env/env.ts
+++ b/src/env/env.ts
@@ -15,15 +15,16 @@
 export interface HttpIn {
   readonly method: string;
   readonly path: string;
+  readonly target: string; // path and query as they came
   readonly query: URLSearchParams;
   readonly headers: Record<string, string>;
   readonly caller: string;
   /** Closed when the caller has gone. */
   readonly gone: Chan<true>;
   body(limit: number): Task<Result<Buffer>>;
-  send(status: number, headers: Record<string, string>, body: string): void;
+  send(status: number, headers: Record<string, string>, body: string | Buffer): void;
   open(status: number, headers: Record<string, string>): void;
-  write(chunk: string): void;
+  write(chunk: string | Buffer): void;
   end(): void;
   abort(): void;
 }
@@ -33,8 +34,14 @@
   readonly chunks: Chan<Buffer>; // closed at the end
   broken(): boolean; // read after chunks closed
   abort(): void;
+  /** The rest is of no interest, and the connection may be used again once it has come. */
+  finish(): void;
 }
-export type HttpOut = { method: string; path: string; headers?: Record<string, string>; body?: string; timeoutMs: number; fresh?: boolean }; // fresh: a connection of its own, so that "refused" is certain
+export type HttpOut = {
+  method: string; path: string; headers?: Record<string, string>; body?: string | Buffer; timeoutMs: number;
+  fresh?: boolean; // a connection of its own, so that "refused" is certain
+  connections?: number; // at most so many to this address
+};
 export interface Disk {
   read(path: string): Task<Result<Buffer | undefined>>;
   /** Whole file, synced, and its folder synced. */
@@ -84,7 +91,7 @@
   timer.cancel();
   return picked.index === 0 ? picked.value : undefined;
 }
-function* bodyOf(env: Env, reply: HttpReply, limit: number, withinMs: number): Task<string | undefined> {
+function* bytesOf(env: Env, reply: HttpReply, limit: number, withinMs: number): Task<Buffer | undefined> {
   const parts: Buffer[] = [];
   let size = 0;
   const until = env.mono() + withinMs;
@@ -94,10 +101,13 @@
       reply.abort();
       return undefined;
     }
-    if (chunk === null) return reply.broken() ? undefined : Buffer.concat(parts).toString("utf8");
+    if (chunk === null) return reply.broken() ? undefined : Buffer.concat(parts);
     parts.push(chunk);
   }
 }
+function* bodyOf(env: Env, reply: HttpReply, limit: number, withinMs: number): Task<string | undefined> {
+  return (yield* bytesOf(env, reply, limit, withinMs))?.toString("utf8");
+}
 
 /**
  * Helpers over an environment.
@@ -109,6 +119,8 @@
 export const EnvTools = {
   sleep,
   takeWithin,
+  /** Whole body, or undefined if broken, too long or too slow. @example yield* EnvTools.bytesOf(env, reply, 1000, 500) */
+  bytesOf,
   /** Whole body as text, or undefined if broken, too long or too slow. @example yield* EnvTools.bodyOf(env, reply, 1000, 500) */
   bodyOf,
   /** @example const id = EnvTools.id(env, "req"); */
--- a/src/env/nodeEnv.ts
+++ b/src/env/nodeEnv.ts
@@ -279,6 +279,7 @@
           const incoming: HttpIn = {
             method: request.method ?? "GET",
             path: url.pathname,
+            target: request.url ?? "/",
             query: url.searchParams,
             headers: request.headers as Record<string, string>,
             caller: `${request.socket.remoteAddress}:${request.socket.remotePort}`,
@@ -331,7 +332,7 @@
           let sent = false;
           const request = http.request({
             host, port, agent: out.fresh ? false : agent, method: out.method, path: out.path,
-            headers: { ...out.headers, ...(out.body === undefined ? {} : { "content-type": "application/json", "content-length": Buffer.byteLength(out.body) }) },
+            headers: { ...out.headers, ...(out.body === undefined ? {} : { ...(typeof out.body === "string" ? { "content-type": "application/json" } : {}), "content-length": Buffer.byteLength(out.body) }) },
           });
           let timedOut = false;
           const timer = setTimeout(() => {
@@ -367,6 +368,10 @@
               chunks,
               broken: () => !whole,
               abort: () => void response.destroy(),
+              finish: () => {
+                response.removeListener("data", put);
+                response.resume();
+              },
             }));
           });
           request.end(out.body);
--- a/src/ingress/ingressNode.ts
+++ b/src/ingress/ingressNode.ts
@@ -8,6 +8,7 @@
 import { Host } from "../core/host";
 import { Room } from "../core/room";
 import { Settings } from "../core/settings";
+import { Shapes } from "../core/shapes";
 import { Stamp } from "../core/stamp";
 import { Http } from "../adapters/http";
 import { CallerHttp } from "../adapters/callerHttp";
@@ -58,7 +59,7 @@
   }
 
   /** @example yield* IngressNode.start(env, settings) */
-  static *start(env: Env, settings: Settings): Task<Result<IngressNode>> {
+  static *start(env: Env, settings: Settings, shapes: Shapes = {}): Task<Result<IngressNode>> {
     const ingress = new IngressNode(env, settings);
     EnvTools.keep(env, env.scope, "feed", () => ingress.feedLoop());
     EnvTools.keep(env, env.scope, "ledger notes", () => ingress.noteLoop());
@@ -81,6 +82,10 @@
       }
     });
     if (!served.ok) return served;
+    for (const surface of shapes.ingress?.(ingress) ?? []) {
+      const opened = yield* env.serveHttp(surface.address, surface.serve);
+      if (!opened.ok) return opened;
+    }
     env.log(1001, { program: "ingress", id: ingress.id, http: settings.http });
     return Fault.ok(ingress);
   }
--- a/src/membership/member.ts
+++ b/src/membership/member.ts
@@ -3,6 +3,7 @@
 export type Member = {
   id: string;
   program: Program;
+  name?: string; // the machine's, by which operators know it
   district: string;
   address: string;
   http: string;
--- a/src/store/storeNode.ts
+++ b/src/store/storeNode.ts
@@ -7,6 +7,7 @@
 import { Settings } from "../core/settings";
 import { Spread } from "../core/spread";
 import { Stamp } from "../core/stamp";
+import { HeaderNames, ownHeaderNames } from "../adapters/headerNames";
 import { OperatorHttp } from "../adapters/operatorHttp";
 import { ShardCopy } from "../shard/shardCopy";
 import { LedgerEntry, ShardState } from "../shard/shardState";
@@ -31,6 +32,7 @@
     readonly env: Env,
     readonly settings: Settings,
     readonly node: Node,
+    readonly names: HeaderNames,
   ) {
     this.putter = new Putter(env, node.rpc, node.self.id, () => node.frame());
     this.chooser = new Chooser(env);
@@ -38,13 +40,13 @@
   }
 
   /** @example yield* StoreNode.start(env, settings) */
-  static *start(env: Env, settings: Settings): Task<Result<StoreNode>> {
+  static *start(env: Env, settings: Settings, names: HeaderNames = ownHeaderNames): Task<Result<StoreNode>> {
     const started = yield* Node.start(env, settings, "store");
     if (!started.ok) return started;
-    const store = new StoreNode(env, settings, started.value);
-    const names = yield* env.disk.list(settings.data!);
-    if (!names.ok) return names;
-    for (const name of names.value.filter((each) => /^shard-\d+$/.test(each))) {
+    const store = new StoreNode(env, settings, started.value, names);
+    const folders = yield* env.disk.list(settings.data!);
+    if (!folders.ok) return folders;
+    for (const name of folders.value.filter((each) => /^shard-\d+$/.test(each))) {
       const copy = store.copy(+name.slice(6));
       const opened = yield* copy.open();
       if (!opened.ok) {
