--- a/jest.config.js
+++ b/jest.config.js
@@ -1,1 +1,1 @@
-module.exports = { testEnvironment: "node", roots: ["<rootDir>/dist/test"], testTimeout: 300000 };
+module.exports = { testEnvironment: "node", roots: ["<rootDir>/dist/test", "<rootDir>/dist/platform"], testTimeout: 300000 };
--- a/src/adapters/directHttp.ts
+++ b/src/adapters/directHttp.ts
@@ -39,7 +39,7 @@
     headers[names.order] = String(direct.order);
     if (direct.after > 0) headers[names.lastPiece] = String(direct.after);
     const replied = yield* env.http(replica.address, {
-      method: direct.method, path: direct.target, headers, body: direct.body, timeoutMs: Math.max(1, headWithinMs), connections: replica.connections,
+      method: direct.method, path: direct.target, headers, body: direct.body, timeoutMs: Math.max(1, headWithinMs), connectMs: Constants.connectMs,
     });
     if (!replied.ok) return replied;
     const reply = replied.value;
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -114,6 +114,17 @@
   slowStartMs: 6000, // ms; a new replica comes up to its full share over this time
   slowStartPerSecond: 4, // starts a second for each slot, times the share, from all choosers together
   slowStartFloor: 0.15, // share; what a replica gets at the start
+  coldMarginMs: 400, // ms; a replica is taken for cold this much longer than it said: its word is as old as its way
+  coldIntervalMs: 120, // ms; one sender's works for a cold replica are this far apart at least
+  sendersSettleMs: 3000, // ms; after its start a sender doesn't know how many share a budget
+  connectionShare: 0.85, // share; of a replica's connections that all senders together count on
+  headMs: 700, // ms; a repeatable request's replica that shows nothing by then, or by twice the aim, is given up for another
+  silentPieceMs: 1200, // ms; a stream that can go on elsewhere does so after this silence
+  connectMs: 350, // ms; a replica on the same site takes a connection well inside this
+  idleConnectionMs: 8000, // ms; a connection to a replica is kept unused this long, or half of what the replica says
+  refuseShare: 0.22, // share; of its aim that a request may wait for room: refused later it earns nothing more
+  comeBackMs: 250, // ms; told with a refusal for want of room: about one reply's time
+  stopListenMs: 3000, // ms; after SIGTERM callers are still sent here until they have seen that we are unready
   boundedLoad: 1.25, // factor; prefix affinity gives way above this multiple of mean load
   ejectFailures: 3, // failures in a row; then the replica is left alone
   ejectMs: 3000, // ms; left alone this long, then tried with one request
@@ -133,7 +144,7 @@
   // --- moves ---
   movePeriodMs: 250, // ms; the control lead looks for due entries
   drainSettleMs: 1500, // ms; a drained district is looked at again
-  stopGraceMs: 8000, // ms; after SIGTERM, work in flight may take this long
+  stopGraceMs: 6800, // ms; after SIGTERM, work in flight may take this long; a second before the platform's hard stop
 
   // --- metrics ---
   spreadKept: 1000, // values; of one measured time, for its spread
--- a/src/core/chooser.ts
+++ b/src/core/chooser.ts
@@ -4,7 +4,7 @@
 import { Frame, Replica } from "./frame";
 import { Hash } from "./hash";
 
-type Liveness = { failures: number; ejectedUntil: number; inFlight: number; startedSince: number; lastStartAt: number; seen: Replica | undefined };
+type Liveness = { failures: number; coldStartAt: number; ejectedUntil: number; inFlight: number; startedSince: number; lastStartAt: number; seen: Replica | undefined };
 export type Wish = { frame: Frame; pool: string; binding: string; caller: string; kind: string; prefix: string; lane: "live" | "lot"; exclude: Set<string> };
 
 /**
@@ -21,12 +21,18 @@
   private sweptAt = 0;
   hits = 0;
   misses = 0;
-  constructor(private readonly env: Env) {}
+  private readonly startedAt: number;
+  constructor(
+    private readonly env: Env,
+    private readonly self = "",
+  ) {
+    this.startedAt = env.mono();
+  }
 
   private of(replica: Replica): Liveness {
     let known = this.livenesses.get(replica.key);
     if (!known) {
-      known = { failures: 0, ejectedUntil: 0, inFlight: 0, startedSince: 0, lastStartAt: -Infinity, seen: undefined };
+      known = { failures: 0, coldStartAt: -Infinity, ejectedUntil: 0, inFlight: 0, startedSince: 0, lastStartAt: -Infinity, seen: undefined };
       this.livenesses.set(replica.key, known);
     }
     if (known.seen !== replica && known.seen?.active !== replica.active) known.startedSince = 0;
@@ -39,6 +45,8 @@
     return Math.max(replica.active + replica.waiting + known.startedSince, known.inFlight);
   }
   private ramp(replica: Replica): number {
+    // one that tells itself how long it is cold needs no guess from its age
+    if (replica.warmAt !== undefined) return 1;
     const age = this.env.wall() - replica.bornAt;
     return Math.min(1, Math.max(Constants.slowStartFloor, age / Constants.slowStartMs));
   }
@@ -85,12 +93,16 @@
       for (const [key, liveness] of this.livenesses) if (!known.has(key) && liveness.inFlight === 0) this.livenesses.delete(key);
       this.sweptAt = now;
     }
-    const choosers = Math.max(1, wish.frame.members.filter((member) => member.program !== "control").length);
+    const senders = Chooser.senders(wish.frame);
+    const choosers = Math.max(1, senders.length);
+    const pool = wish.frame.control?.manifest.doc.pools?.[wish.pool];
     const share = wish.lane === "lot" ? 1 - Constants.reservedShare : 1;
     const room = this.eligible(wish).filter((replica) => {
       if (wish.exclude.has(replica.key)) return false;
       const known = this.of(replica);
       if (known.ejectedUntil > now) return false;
+      if (this.cold(replica) && !this.coldTurn(replica, pool?.warmPerSecond ?? 0, senders, now)) return false;
+      if (pool?.connections && known.inFlight >= Chooser.connectionShare(pool.connections, choosers)) return false;
       const ramp = this.ramp(replica);
       // a replica that has just started gets work at a rate that all choosers together keep small
       if (ramp < 1 && now - known.lastStartAt < (1000 * choosers) / (replica.capacity * ramp * Constants.slowStartPerSecond)) return false;
@@ -114,6 +126,25 @@
     this.misses += 1;
     return this.better(room);
   }
+  /** Who may send work to replicas, ingresses (by their agents) and stores. @example Chooser.senders(frame).length */
+  static senders(frame: Frame): string[] {
+    return frame.members.filter((member) => member.program !== "control").map((member) => member.id);
+  }
+  /** A sender's part of the connections that a replica takes from all. @example Chooser.connectionShare(110, 12) // 8 */
+  static connectionShare = (connections: number, senders: number): number =>
+    Math.max(1, Math.floor((connections * Constants.connectionShare) / Math.max(1, senders)));
+  private cold = (replica: Replica): boolean =>
+    replica.warmAt !== undefined && replica.warmAt + Constants.coldMarginMs > this.env.wall();
+  /** A cold replica's rate is a budget of all senders together; where it is less than one each, only some have a part. */
+  private coldTurn(replica: Replica, perSecond: number, senders: string[], now: number): boolean {
+    if (perSecond <= 0) return true;
+    // whoever has just started doesn't know yet how many share the budget
+    if (now - this.startedAt < Constants.sendersSettleMs) return false;
+    const share = perSecond / Math.max(1, senders.length);
+    const interval = Math.max(Constants.coldIntervalMs, 1000 / Math.max(share, 1e-6));
+    if (share < 1 && Hash.rendezvous(replica.key, senders).indexOf(this.self) >= Math.floor(perSecond)) return false;
+    return now - this.of(replica).coldStartAt >= Math.min(interval, 1000);
+  }
   private better(room: Replica[]): Replica {
     const pick = (): Replica => room[Math.floor(this.env.random() * room.length)];
     const [left, right] = [pick(), pick()];
@@ -126,9 +157,10 @@
     known.inFlight += 1;
     known.startedSince += 1;
     known.lastStartAt = this.env.mono();
+    if (this.cold(replica)) known.coldStartAt = known.lastStartAt;
   }
-  /** How a round ended; failures in a row eject. @example chooser.end(replica, true); */
-  end(replica: Replica, lively: boolean): void {
+  /** How a round ended; failures in a row eject, a plain one at once. @example chooser.end(replica, false, true); */
+  end(replica: Replica, lively: boolean, plainly = false): void {
     const known = this.livenesses.get(replica.key);
     if (!known) return;
     known.inFlight = Math.max(0, known.inFlight - 1);
@@ -136,7 +168,7 @@
     if (lively) known.failures = 0;
     else {
       known.failures += 1;
-      if (known.failures >= Constants.ejectFailures) {
+      if (plainly || known.failures >= Constants.ejectFailures) {
         known.ejectedUntil = this.env.mono() + Constants.ejectMs;
         known.failures = Constants.ejectFailures - 1; // one more failure after the pause ejects again
         this.env.log(1204, { replica: replica.key });
--- a/src/core/frame.ts
+++ b/src/core/frame.ts
@@ -5,7 +5,6 @@
   key: string; id: string; instance: string; address: string; pool: string; district: string; version: string;
   capacity: number; active: number; waiting: number; bornAt: number;
   warmAt?: number; // wall ms; until then it is cold
-  connections?: number; // one sender holds at most so many to it
 };
 /** Everything a process acts on, immutable and swapped whole. */
 export type Frame = {
--- a/src/core/node.ts
+++ b/src/core/node.ts
@@ -76,7 +76,7 @@
       incarnation: Math.floor(env.wall()), state: "alive",
     };
     const rpc = new Rpc(env, settings.cluster, id);
-    const membership = new Membership(env, settings.cluster, self, settings.seeds ?? [], settings.bind ?? settings.address);
+    const membership = new Membership(env, settings.cluster, self, () => settings.seeds ?? [], settings.bind ?? settings.address);
     const news = new News(env, rpc, membership);
     const node = new Node(env, settings, self, rpc, membership, news);
     const served = yield* rpc.serve(settings.bind ?? settings.address);
--- a/src/core/room.ts
+++ b/src/core/room.ts
@@ -28,8 +28,7 @@
   retryAfterMs = (pool: string): number => Math.round(Constants.retryAfterMs * (1 + this.waiting(pool) / 8) * (0.8 + 0.4 * this.env.random()));
 
   /** A replica, its place taken; undefined when there is none in time, or too many wait. @example yield* room.take(make, 10, now, 400) */
-  *take(make: () => Wish, order: number, time: number, withinMs: number): Task<Replica | undefined> {
-    const { pool } = make();
+  *take(make: () => Wish, order: number, time: number, withinMs: number, pool = make().pool): Task<Replica | undefined> {
     const buffer = this.buffers.get(pool) ?? [];
     this.buffers.set(pool, buffer);
     const chosen = buffer.length === 0 ? this.chosen(make()) : undefined;
@@ -63,8 +62,8 @@
     if (foremost) Csp.offer(foremost.wake, true);
   }
   /** A round at a replica ended. @example room.leave(replica, true); */
-  leave(replica: Replica, lively: boolean): void {
-    this.chooser.end(replica, lively);
+  leave(replica: Replica, lively: boolean, plainly = false): void {
+    this.chooser.end(replica, lively, plainly);
     this.wake(replica.pool);
   }
   /** Replicas may have come, or told of less load. @example node.news.watch(() => room.changed()); */
--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -10,7 +10,7 @@
   http: string; // callers and operators
   seeds?: string[]; // all but ingress, which has its agent
   data?: string; // data folder: store and control
-  agent?: string; // ingress: its agent's address
+  agent?: string; // ingress: its agent's address; without it, and with seeds, the agent is a branch of the ingress itself
   founders?: string[]; // control: every founder's address, our own among them; none: never founds a group
   name?: string; // the machine's name, by which operators know it
   losses?: number; // machines with a disk that may be lost at once: 2 x losses + 1 voters, losses + 2 copies
@@ -37,7 +37,7 @@
     log: { enum: ["debug", "info", "warn", "error"] },
   },
   allOf: [
-    { if: { properties: { program: { const: "ingress" } } }, then: { required: ["agent"] }, else: { required: ["seeds"] } },
+    { if: { properties: { program: { const: "ingress" } } }, then: { anyOf: [{ required: ["agent"] }, { required: ["seeds"] }] }, else: { required: ["seeds"] } },
     { if: { properties: { program: { const: "store" } } }, then: { required: ["data"] } },
     { if: { properties: { program: { const: "control" } } }, then: { required: ["data", "founders"] } },
   ],
--- a/src/core/shapes.ts
+++ b/src/core/shapes.ts
@@ -2,6 +2,7 @@
 import type { Task } from "../csp/csp";
 import type { HttpIn } from "../env/env";
 import type { HeaderNames } from "../adapters/headerNames";
+import type { DirectIntake } from "../ingress/directIntake";
 import type { IngressNode } from "../ingress/ingressNode";
 
 /** A further HTTP surface of a process, at an address of its own. */
@@ -14,6 +15,6 @@
  */
 export type Shapes = {
   names?: HeaderNames;
-  ingress?: (ingress: IngressNode) => Surface[];
+  ingress?: (ingress: IngressNode, direct: DirectIntake) => Surface[];
   control?: (control: ControlNode) => Surface[];
 };
--- a/src/env/env.ts
+++ b/src/env/env.ts
@@ -40,7 +40,7 @@
 export type HttpOut = {
   method: string; path: string; headers?: Record<string, string>; body?: string | Buffer; timeoutMs: number;
   fresh?: boolean; // a connection of its own, so that "refused" is certain
-  connections?: number; // at most so many to this address
+  connectMs?: number; // a connection not made by then is given up, provably unsent
 };
 export interface Disk {
   read(path: string): Task<Result<Buffer | undefined>>;
--- a/src/env/nodeEnv.ts
+++ b/src/env/nodeEnv.ts
@@ -185,7 +185,23 @@
   }
 };
 
-const agent = new http.Agent({ keepAlive: true, maxSockets: 512, timeout: 30_000 });
+/** Connections to replicas are kept for less time than the replica says, so that none is used as it closes. */
+class PatientAgent extends http.Agent {
+  keepSocketAlive(socket: net.Socket & { _httpMessage?: { res?: http.IncomingMessage } }): boolean {
+    const told = /timeout=(\d+)/.exec(String(socket._httpMessage?.res?.headers["keep-alive"] ?? ""))?.[1];
+    const keptMs = told === undefined ? Constants.idleConnectionMs : Math.min(Constants.idleConnectionMs, +told * 500);
+    if (keptMs <= 0) return false;
+    socket.setKeepAlive(true, 1000);
+    socket.unref();
+    socket.setTimeout(keptMs);
+    return true;
+  }
+  reuseSocket(socket: net.Socket): void {
+    socket.setTimeout(0);
+    socket.ref();
+  }
+}
+const agent = new PatientAgent({ keepAlive: true, maxSockets: 512, maxFreeSockets: 24 });
 
 /**
  * The environment of production: Node's clocks, sockets and files.
@@ -341,8 +357,16 @@
             done(Fault.fail(sent ? "timeout" : "refused", "http request", address, "no reply in time"));
           }, out.timeoutMs);
           request.on("socket", (socket) => {
-            if (!socket.connecting) sent = true;
-            else socket.once("connect", () => (sent = true));
+            if (!socket.connecting) {
+              sent = true;
+              return;
+            }
+            const slow = out.connectMs === undefined ? undefined : setTimeout(() => request.destroy(new Error("no connection in time")), out.connectMs);
+            socket.once("connect", () => {
+              sent = true;
+              clearTimeout(slow);
+            });
+            socket.once("close", () => clearTimeout(slow));
           });
           request.on("error", (error) => {
             clearTimeout(timer);
--- /dev/null
+++ b/src/ingress/directIntake.ts
@@ -0,0 +1,224 @@
+import { Constants } from "../constants";
+import { Task } from "../csp/csp";
+import { Env, EnvTools, HttpIn } from "../env/env";
+import { Direct, DirectHttp, DirectReply } from "../adapters/directHttp";
+import { EventPieces } from "../adapters/eventPieces";
+import { Http } from "../adapters/http";
+import { Binding } from "../control/controlState";
+import { Chooser, Wish } from "../core/chooser";
+import { Fault, Result } from "../core/fault";
+import { Replica } from "../core/frame";
+import { Cause } from "../shard/shardState";
+import { Bound, BindingTable } from "./bindingTable";
+import type { IngressNode } from "./ingressNode";
+
+/** One request on its way: what came, and what of a stream has been passed on. */
+type Passing = {
+  incoming: HttpIn; name: string; binding: Binding; direct: Direct; cause: Cause; untilMono: number; arrivedAt: number;
+  open: boolean; mayHaveRun: boolean; pool: string; prefix: string;
+};
+type Outcome =
+  | { tag: "replied"; status: number }
+  | { tag: "gone" }
+  | { tag: "unrun"; fault: Fault; sent: boolean }
+  | { tag: "lost"; fault: Fault };
+export type LotIntake = (incoming: HttpIn, bound: Bound, body: Buffer) => Task<void>;
+
+/**
+ * Requests that are passed on as they are, by host and path: straight to a replica, streams as their events come.
+ * What may not be repeated is delivered once: only the replica's plain word that it did not run, or a connection
+ * that was never made, frees another round.
+ *
+ * @example
+ * const direct = new DirectIntake(ingress);
+ * yield* direct.serve(incoming);
+ */
+export class DirectIntake {
+  private readonly env: Env;
+  constructor(private readonly ingress: IngressNode) {
+    this.env = ingress.env;
+  }
+  private bound(incoming: HttpIn): Bound | undefined {
+    const control = this.ingress.frame().control;
+    return control && BindingTable.of(control.manifest.doc).find(incoming.headers.host ?? "", incoming.path);
+  }
+  /** Whether some binding is reached by this host and path. @example direct.fits(incoming) */
+  fits = (incoming: HttpIn): boolean => this.bound(incoming) !== undefined;
+
+  /** @example yield* direct.serve(incoming, (each, bound, body) => lots.handIn(each, bound, body)) */
+  *serve(incoming: HttpIn, lots?: LotIntake): Task<void> {
+    const { ingress } = this;
+    const arrivedAt = this.env.mono();
+    const why = ingress.held();
+    if (why) return this.refuse(incoming, { tag: "busy", step: "accept", member: ingress.id, detail: why, retryAfterMs: Constants.comeBackMs });
+    const control = ingress.frame().control!;
+    const bound = this.bound(incoming);
+    if (!bound) return this.reply(incoming, { tag: "notFound", step: "find binding", member: ingress.id, detail: `no binding for ${incoming.path}` }, 404);
+    const read: Result<Buffer> = yield* incoming.body(control.manifest.doc.limits?.bodyBytes ?? Constants.bodyLimitBytes);
+    if (!read.ok) return this.reply(incoming, read.fault, read.fault.tag === "invalid" ? 413 : 400);
+    if (bound.binding.kind === "item") {
+      if (lots) return yield* lots(incoming, bound, read.value);
+      return this.reply(incoming, { tag: "invalid", step: "accept", member: ingress.id, detail: "this binding takes lots only" }, 400);
+    }
+    const passing = this.passing(incoming, bound, read.value, arrivedAt);
+    if (!passing.ok) return this.reply(incoming, passing.fault, 400);
+    yield* ingress.counted(bound.name, () => this.pass(passing.value));
+  }
+  private passing(incoming: HttpIn, { name, binding }: Bound, body: Buffer, arrivedAt: number): Result<Passing> {
+    const { names } = this.ingress;
+    const { headers } = incoming;
+    const asked = Number(headers[names.remainingMs]);
+    const left = Math.min(binding.deadlineMs, Number.isFinite(asked) && asked > 0 ? asked : binding.deadlineMs);
+    const after = headers[names.lastPiece] ?? "0";
+    if (!/^\d{1,9}$/.test(after)) return Fault.fail("invalid", "read last piece", "caller", "not a piece number");
+    const direct: Direct = {
+      method: incoming.method, target: incoming.target, headers: DirectHttp.endToEnd(headers), body,
+      id: headers[names.requestId] ?? EnvTools.id(this.env, "req"), remainingMs: left, after: +after, order: Math.min(7, binding.order ?? 5),
+    };
+    const prefix = binding.affinity ? (headers[names.promptParts] ?? "").split(",")[0] : "";
+    return Fault.ok({
+      incoming, name, binding, direct, cause: { manifest: this.ingress.frame().control!.manifest.version }, untilMono: arrivedAt + left,
+      arrivedAt, open: false, mayHaveRun: false, pool: DirectIntake.poolOf(binding, this.env.random()), prefix,
+    });
+  }
+  /** The pool by weight, for a number between 0 and 1. @example DirectIntake.poolOf(binding, 0.3) */
+  static poolOf(binding: Binding, at: number): string {
+    if (!binding.split?.length) return binding.pool;
+    let left = at * binding.split.reduce((sum, share) => sum + share.weight, 0);
+    for (const share of binding.split) if ((left -= share.weight) < 0) return share.pool;
+    return binding.split.filter((share) => share.weight > 0).at(-1)!.pool;
+  }
+
+  private wish(passing: Passing, exclude: Set<string>): Wish {
+    const { name, binding, pool, prefix } = passing;
+    return { frame: this.ingress.frame(), pool, binding: name, caller: "", kind: binding.kind, prefix, lane: "live", exclude };
+  }
+  private *pass(passing: Passing): Task<void> {
+    const { ingress } = this;
+    const { binding, incoming } = passing;
+    const exclude = new Set<string>();
+    let last: Fault | undefined;
+    let sentTo = 0;
+    for (;;) {
+      if (incoming.gone.isClosed()) return;
+      const left = passing.untilMono - this.env.mono();
+      const rounds = binding.rounds ?? Constants.lookupRounds;
+      const chosen = left > 0 && sentTo < rounds ? yield* this.take(passing, exclude, left) : undefined;
+      if (!chosen) return this.giveUp(passing, last);
+      const outcome = yield* this.round(passing, chosen, sentTo + 1 < rounds);
+      switch (outcome.tag) {
+        case "gone":
+          return;
+        case "replied":
+          ingress.note(`request ${passing.direct.id}`, `replied ${outcome.status} from ${chosen.id}`, passing.cause);
+          return;
+        case "unrun":
+          if (outcome.sent) sentTo += 1;
+          break;
+        case "lost":
+          sentTo += 1;
+          passing.mayHaveRun = true;
+          if (!binding.safe || (passing.open && binding.continues !== "exact")) return this.giveUp(passing, outcome.fault);
+          break;
+        default: {
+          const never: never = outcome;
+          return never;
+        }
+      }
+      last = outcome.fault;
+      exclude.add(chosen.key);
+      ingress.note(`request ${passing.direct.id}`, `round at ${chosen.id} ended: ${last.detail}`, passing.cause);
+    }
+  }
+  /** A place at a replica: waited for only as long as a later try elsewhere is still worth something. */
+  private *take(passing: Passing, exclude: Set<string>, left: number): Task<Replica | undefined> {
+    const { binding, pool } = passing;
+    const waited = this.env.mono() - passing.arrivedAt;
+    const patience = passing.open ? Constants.resumeWaitMs : (binding.targetMs ?? Constants.liveWaitMs) * Constants.refuseShare - waited;
+    const eligible = Chooser.inPool(this.wish(passing, exclude));
+    if (eligible.every((replica) => exclude.has(replica.key)) && exclude.size > 0) exclude.clear();
+    this.ingress.counts.lookups += 1;
+    return yield* this.ingress.room.take(() => this.wish(passing, exclude), binding.order ?? 100, passing.arrivedAt, Math.min(left, patience), pool);
+  }
+  private giveUp(passing: Passing, last: Fault | undefined): void {
+    const { ingress } = this;
+    const fault: Fault = last ?? { tag: "busy", step: "choose", member: ingress.id, detail: `no room in pool ${passing.pool}`, retryAfterMs: Constants.comeBackMs };
+    ingress.note(`request ${passing.direct.id}`, `given up: ${fault.detail}`, passing.cause);
+    if (passing.open) return passing.incoming.abort();
+    if (!passing.mayHaveRun) return this.refuse(passing.incoming, { tag: "busy", step: fault.step, member: fault.member, detail: fault.detail, retryAfterMs: Constants.comeBackMs });
+    ingress.counts.failures += 1;
+    this.reply(passing.incoming, fault, this.env.mono() >= passing.untilMono ? 504 : 502);
+  }
+  /** A promise that it did not run and never will, with when to come back. */
+  private refuse(incoming: HttpIn, fault: Extract<Fault, { tag: "busy" }>): void {
+    this.ingress.counts.busies += 1;
+    this.reply(incoming, fault, 503, { "retry-after": (fault.retryAfterMs / 1000).toFixed(2) });
+  }
+  private reply(incoming: HttpIn, fault: Fault, status: number, headers: Record<string, string> = {}): void {
+    const close = this.ingress.stopping || status === 413 ? { connection: "close" } : {};
+    incoming.send(status, { "content-type": "application/problem+json", ...headers, ...close } as Record<string, string>, JSON.stringify(Http.problemOf(fault, status)));
+  }
+
+  /** One replica tried, its place given back whatever comes. */
+  private *round(passing: Passing, replica: Replica, more: boolean): Task<Outcome> {
+    const { binding, direct } = passing;
+    const { room } = this.ingress;
+    const left = passing.untilMono - this.env.mono();
+    const patience = binding.safe && more ? Math.min(left, Math.max(Constants.headMs, 2 * (binding.targetMs ?? 0))) : left;
+    const opened = yield* DirectHttp.open(this.env, this.ingress.names, replica, { ...direct, remainingMs: left }, patience);
+    if (!opened.ok) {
+      const unrun = opened.fault.tag === "refused";
+      const sent = opened.fault.step === "deliver";
+      // a connection that is not taken, or a silence, says more than a single bad reply
+      room.leave(replica, unrun && sent, !sent && opened.fault.tag !== "broken");
+      return unrun ? { tag: "unrun", fault: opened.fault, sent } : { tag: "lost", fault: opened.fault };
+    }
+    const outcome = yield* this.relay(passing, replica, opened.value, patience);
+    room.leave(replica, outcome.tag !== "lost", outcome.tag === "lost" && outcome.fault.tag === "timeout");
+    return outcome;
+  }
+  private *relay(passing: Passing, replica: Replica, opened: DirectReply, firstWithin: number): Task<Outcome> {
+    const { binding, incoming } = passing;
+    const { names } = this.ingress;
+    const streams = opened.status === 200 && (opened.headers["content-type"] ?? "").startsWith("text/event-stream");
+    if (opened.status < 300 && names.mark !== "" && opened.headers[names.mark] === undefined) {
+      opened.reply.abort();
+      return { tag: "lost", fault: { tag: "broken", step: "check reply", member: replica.id, detail: "a success without the replica's mark" } };
+    }
+    if (streams) return yield* this.stream(passing, replica, opened, firstWithin);
+    const body = yield* DirectHttp.whole(this.env, opened, passing.untilMono - this.env.mono());
+    if (!body) return { tag: "lost", fault: { tag: "broken", step: "read reply", member: replica.id, detail: "reply was cut, too long or too slow" } };
+    if (passing.open || (opened.status >= 500 && binding.safe)) {
+      return { tag: "lost", fault: { tag: "broken", step: "read reply", member: replica.id, detail: `replica replied ${opened.status}` } };
+    }
+    const close = this.ingress.stopping ? { connection: "close" } : {};
+    incoming.send(opened.status, { ...opened.headers, ...close } as Record<string, string>, body);
+    return { tag: "replied", status: opened.status };
+  }
+  private *stream(passing: Passing, replica: Replica, opened: DirectReply, firstWithin: number): Task<Outcome> {
+    const { binding, incoming, direct } = passing;
+    const pieces = new EventPieces(this.env, replica.id, opened.reply, direct.after);
+    const exact = binding.safe && binding.continues === "exact";
+    for (let first = true; ; first = false) {
+      const left = passing.untilMono - this.env.mono();
+      const silence = first ? firstWithin : exact ? Math.max(Constants.silentPieceMs, 3 * (binding.pieceGapMs ?? 0)) : left;
+      const got = yield* pieces.next(Math.min(left, silence));
+      if (incoming.gone.isClosed()) {
+        opened.reply.abort();
+        return { tag: "gone" };
+      }
+      if (!got.ok) return { tag: "lost", fault: got.fault };
+      if (!passing.open) {
+        const close = this.ingress.stopping ? { connection: "close" } : {};
+        incoming.open(opened.status, { ...opened.headers, ...close } as Record<string, string>);
+        passing.open = true;
+      }
+      if (got.value === undefined) {
+        incoming.end();
+        return { tag: "replied", status: opened.status };
+      }
+      incoming.write(got.value.length === 1 ? got.value[0].raw : Buffer.concat(got.value.map((piece) => piece.raw)));
+      direct.after = pieces.lastId;
+    }
+  }
+}
--- a/src/ingress/ingressNode.ts
+++ b/src/ingress/ingressNode.ts
@@ -1,14 +1,17 @@
 import { Constants } from "../constants";
 import { Csp, Task } from "../csp/csp";
-import { Env, EnvTools, HttpIn } from "../env/env";
+import { Env, EnvTools } from "../env/env";
 import { Chooser, Wish } from "../core/chooser";
 import { Fault, Result } from "../core/fault";
 import { Frame } from "../core/frame";
+import { Node } from "../core/node";
+import { HeaderNames, ownHeaderNames } from "../adapters/headerNames";
+import { DirectIntake } from "./directIntake";
 import { Hash } from "../core/hash";
 import { Host } from "../core/host";
 import { Room } from "../core/room";
 import { Settings } from "../core/settings";
-import { Shapes } from "../core/shapes";
+import { Shapes, Surface } from "../core/shapes";
 import { Stamp } from "../core/stamp";
 import { Http } from "../adapters/http";
 import { CallerHttp } from "../adapters/callerHttp";
@@ -32,15 +35,16 @@
  * const started = yield* IngressNode.start(env, settings);
  */
 export class IngressNode {
-  private current: Frame = { number: 0, control: undefined, members: [], replicas: [], crowded: {}, fresh: false, vouched: false };
+  private fed: Frame = { number: 0, control: undefined, members: [], replicas: [], crowded: {}, fresh: false, vouched: false };
   private fedAt = -Infinity;
   private notes: Note[] = [];
   private noteBatch = 0;
   private live = new Map<string, number>();
   private crowdTold = new Map<string, number>();
-  private readonly room: Room;
+  readonly room: Room;
   readonly id: string;
   readonly rpc: Rpc;
+  readonly names: HeaderNames;
   readonly putter: Putter;
   readonly chooser: Chooser;
   readonly slab = new Slab<Result<Reply>>(Constants.slabSlots);
@@ -50,21 +54,28 @@
   private constructor(
     readonly env: Env,
     readonly settings: Settings,
+    shapes: Shapes,
+    /** The agent, where it is a branch of this process. */
+    private readonly node: Node | undefined,
   ) {
-    this.id = EnvTools.id(env, "ingress");
-    this.rpc = new Rpc(env, settings.cluster, this.id);
+    this.id = node?.self.id ?? EnvTools.id(env, "ingress");
+    this.rpc = node?.rpc ?? new Rpc(env, settings.cluster, this.id);
+    this.names = shapes.names ?? ownHeaderNames;
     this.putter = new Putter(env, this.rpc, this.id, () => this.current);
-    this.chooser = new Chooser(env);
+    this.chooser = new Chooser(env, this.id);
     this.room = new Room(env, this.chooser, (pool) => this.crowd(pool));
   }
 
   /** @example yield* IngressNode.start(env, settings) */
   static *start(env: Env, settings: Settings, shapes: Shapes = {}): Task<Result<IngressNode>> {
-    const ingress = new IngressNode(env, settings);
-    EnvTools.keep(env, env.scope, "feed", () => ingress.feedLoop());
+    const branch = settings.agent ? undefined : yield* Node.start(env, settings, "agent");
+    if (branch && !branch.ok) return branch;
+    const ingress = new IngressNode(env, settings, shapes, branch?.value);
+    if (branch) ingress.watchNode(branch.value);
+    else EnvTools.keep(env, env.scope, "feed", () => ingress.feedLoop());
     EnvTools.keep(env, env.scope, "ledger notes", () => ingress.noteLoop());
     EnvTools.keep(env, env.scope, "clock watch", () => ingress.watchClock());
-    const host: Host = {
+    const host: Host = branch ? Host.of(branch.value) : {
       env, rpc: ingress.rpc, id: ingress.id, frame: () => ingress.current,
       announce: (announcement) => ingress.rpc.ask(settings.agent!, "agent.announce", announcement, 800),
       goodbye: (id) => ingress.rpc.ask(settings.agent!, "agent.goodbye", { id }, 800),
@@ -73,30 +84,53 @@
       ...CallerHttp.routes(ingress),
       ...OperatorHttp.routes(host, { ready: () => ingress.unready(), metrics: () => ingress.metrics(), ledgerSource: ingress.putter }),
     ];
-    const served = yield* env.serveHttp(settings.http, function* (incoming: HttpIn) {
-      ingress.inFlight += 1;
-      try {
-        yield* Http.dispatch(routes, incoming);
-      } finally {
-        ingress.inFlight -= 1;
-      }
-    });
-    if (!served.ok) return served;
-    for (const surface of shapes.ingress?.(ingress) ?? []) {
-      const opened = yield* env.serveHttp(surface.address, surface.serve);
-      if (!opened.ok) return opened;
+    const direct = new DirectIntake(ingress);
+    const own: Surface = {
+      address: settings.http,
+      serve: (incoming) => (incoming.path.startsWith("/v1/") || !direct.fits(incoming) ? Http.dispatch(routes, incoming) : direct.serve(incoming)),
+    };
+    for (const surface of [own, ...(shapes.ingress?.(ingress, direct) ?? [])]) {
+      const served = yield* env.serveHttp(surface.address, (incoming) => ingress.tracked(() => surface.serve(incoming)));
+      if (!served.ok) return served;
     }
     env.log(1001, { program: "ingress", id: ingress.id, http: settings.http });
     return Fault.ok(ingress);
   }
 
+  private get current(): Frame {
+    return this.node?.frame() ?? this.fed;
+  }
   /** @example ingress.frame().replicas */
   frame = (): Frame => this.current;
+  private *tracked(body: () => Task<void>): Task<void> {
+    this.inFlight += 1;
+    try {
+      yield* body();
+    } finally {
+      this.inFlight -= 1;
+    }
+  }
+  private watchNode(node: Node): void {
+    let told = -1;
+    const changed = (): void => {
+      this.room.changed();
+      const index = node.news.frame?.index ?? -1;
+      if (index > told) this.env.log(1601, { index, manifest: node.news.frame?.manifest.version });
+      told = Math.max(told, index);
+    };
+    node.news.watch(changed);
+    node.membership.watch(changed);
+  }
+  /** Why direct work cannot be taken, if so; while stopping, what still comes is served. @example const why = ingress.held(); */
+  held(): string | undefined {
+    const why = this.unready();
+    return why === "stopping" ? undefined : why;
+  }
   /** Why new work is held, if it is. @example const why = ingress.unready(); */
   unready(): string | undefined {
     if (this.stopping) return "stopping";
     if (!this.current.control) return "no manifest yet";
-    if (this.env.mono() - this.fedAt > Constants.frameStaleMs || !this.current.fresh) return "no fresh frame";
+    if ((!this.node && this.env.mono() - this.fedAt > Constants.frameStaleMs) || !this.current.fresh) return "no fresh frame";
     if (!this.current.vouched) return "clock not vouched for";
     return undefined;
   }
@@ -118,7 +152,7 @@
       const newest = control && (!kept || control.index > kept.index) ? control : kept;
       if (newest !== kept) this.env.log(1601, { index: newest.index, manifest: newest.manifest.version });
       // an agent that was started again may know less than we do: its word counts once it has caught up
-      this.current = { ...rest, control: newest, fresh: rest.fresh && controlIndex >= (newest?.index ?? 0) };
+      this.fed = { ...rest, control: newest, fresh: rest.fresh && controlIndex >= (newest?.index ?? 0) };
       this.fedAt = askedAt;
       this.room.changed();
     }
@@ -133,7 +167,7 @@
         this.env.log(1005, { forMs: Math.round(now - last) });
         this.fedAt = -Infinity;
       }
-      const stale = now - this.fedAt > Constants.frameStaleMs;
+      const stale = !this.node && now - this.fedAt > Constants.frameStaleMs;
       if (stale && !told) {
         this.env.log(1602);
         this.counts.stale += 1;
@@ -202,8 +236,13 @@
     const now = this.env.mono();
     if (now - (this.crowdTold.get(pool) ?? -Infinity) < 200) return;
     this.crowdTold.set(pool, now);
+    this.tell(`crowd/${this.id}/${pool}`, { pool }, Constants.lotCrowdHoldMs);
+  }
+  /** News of ours, by the agent. @example ingress.tell("crowd/i1/model", { pool: "model" }, 600); */
+  tell(key: string, value: unknown, grantMs: number): void {
+    if (this.node) return this.node.news.tell(key, value, grantMs, true);
     const ingress = this;
-    Csp.go(this.env.scope, "tell crowd", () => ingress.rpc.ask(ingress.settings.agent!, "agent.tell", { key: `crowd/${ingress.id}/${pool}`, value: { pool }, grantMs: Constants.lotCrowdHoldMs }, 500));
+    Csp.go(this.env.scope, "tell news", () => ingress.rpc.ask(ingress.settings.agent!, "agent.tell", { key, value, grantMs }, 500));
   }
 
   // ---------- lookups: straight to a replica, repeated only where safe ----------
@@ -311,9 +350,13 @@
   *stop(): Task<void> {
     this.env.log(1002);
     this.stopping = true;
-    const until = this.env.mono() + Constants.stopGraceMs;
-    while (this.env.mono() < until && this.inFlight > 0) yield* EnvTools.sleep(this.env, 50);
+    if (this.node) this.node.stopping = true;
+    const startedAt = this.env.mono();
+    // callers come until they have seen that we are unready: what they send is still served
+    yield* EnvTools.sleep(this.env, Constants.stopListenMs);
+    while (this.env.mono() < startedAt + Constants.stopGraceMs && this.inFlight > 0) yield* EnvTools.sleep(this.env, 50);
     yield* EnvTools.sleep(this.env, Constants.ledgerFlushMs + 100);
-    this.env.log(1003);
+    if (this.node) yield* this.node.depart(function* () { /* nothing is left to finish */ });
+    else this.env.log(1003);
   }
 }
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -17,7 +17,7 @@
  * The probes also sample clocks.
  *
  * @example
- * const membership = new Membership(env, "kiln", self, ["127.0.0.1:7001"], self.address);
+ * const membership = new Membership(env, "kiln", self, () => ["127.0.0.1:7001"], self.address);
  * yield* membership.start();
  * membership.alive("store");
  */
@@ -39,7 +39,7 @@
     private readonly env: Env,
     private readonly cluster: string,
     readonly self: Member,
-    private readonly seeds: string[],
+    private readonly seeds: () => string[],
     private readonly bind: string,
   ) {
     this.members.set(self.id, { info: self, since: env.mono(), passes: 0 });
@@ -311,7 +311,7 @@
     for (let round = 0; ; round += 1) {
       const others = this.alive().length - 1;
       const lost = this.all().filter((member) => member.state === "dead").map((member) => member.address);
-      const places = [...this.seeds, ...lost].filter((address) => address !== this.self.address);
+      const places = [...this.seeds(), ...lost].filter((address) => address !== this.self.address);
       // now and then the lost and the seeds are asked again, so that a healed cut is noticed
       if (places.length > 0 && (others < 2 || round % 4 === 0)) {
         const address = places[Math.floor(this.env.random() * places.length)];
