--- a/src/ingress/ingressNode.ts
+++ b/src/ingress/ingressNode.ts
@@ -124,7 +124,8 @@
   /** Why direct work cannot be taken, if so; while stopping, what still comes is served. @example const why = ingress.held(); */
   held(): string | undefined {
     const why = this.unready();
-    return why === "stopping" ? undefined : why;
+    if (why !== undefined && why !== "stopping") return why;
+    return this.current.control?.manifest.version ? undefined : "no manifest in force yet";
   }
   /** Why new work is held, if it is. @example const why = ingress.unready(); */
   unready(): string | undefined {
