--- a/src/adapters/eventPieces.ts
+++ b/src/adapters/eventPieces.ts
@@ -35,11 +35,12 @@
       const pieces: EventPiece[] = [];
       for (let end = this.endOfEvent(); end > 0; end = this.endOfEvent()) {
         const raw = this.held.subarray(0, end);
-        this.held = this.held.subarray(end);
         const text = raw.toString("utf8");
         const id = idOf(text);
-        // an event without an id that rises by one belongs to no stream of ours
+        // an event without an id that rises by one belongs to no stream of ours; what came before it does
+        if (id !== this.lastId + 1 && pieces.length > 0) break;
         if (id !== this.lastId + 1) return this.fail("broken", `event ${id} after ${this.lastId}`);
+        this.held = this.held.subarray(end);
         this.lastId = id;
         pieces.push({ id, data: dataOf(text), raw });
       }
--- /dev/null
+++ b/test/direct.test.ts
@@ -0,0 +1,152 @@
+import { ownHeaderNames } from "../src/adapters/headerNames";
+import { Binding, ControlState } from "../src/control/controlState";
+import { Chooser } from "../src/core/chooser";
+import { Frame, Replica } from "../src/core/frame";
+import { Room } from "../src/core/room";
+import { Csp, Task } from "../src/csp/csp";
+import { Env, EnvTools, HttpIn, HttpReply } from "../src/env/env";
+import { BindingTable } from "../src/ingress/bindingTable";
+import { DirectIntake } from "../src/ingress/directIntake";
+import { IngressNode } from "../src/ingress/ingressNode";
+import { SimDisk } from "../src/sim/simDisk";
+import { SimWorld } from "../src/sim/simWorld";
+
+type Seen = { method: string; target: string; headers: Record<string, string>; body: string };
+type Behaviour = (incoming: HttpIn, seen: Seen, env: Env) => Task<void>;
+const binding = (more: Partial<Binding>): Binding => ({
+  kind: "lookup", pool: "desk", path: "/", safe: true, deadlineMs: 3000, continues: "no", prefixBytes: 0, host: "kiln.example", prefix: "/desk/", rounds: 3, targetMs: 200, ...more,
+});
+const replica = (at: number): Replica => ({
+  key: `replica/r${at}/i${at}`, id: `r${at}`, instance: `i${at}`, address: `10.0.1.${at}:80`, pool: "desk", district: "north", version: "v1", capacity: 4, active: 0, waiting: 0, bornAt: 0, warmAt: 0,
+});
+const event = (n: number, data = `piece ${n}`): string => `id: ${n}\ndata: ${data}\n\n`;
+const sse = { "content-type": "text/event-stream" };
+const echo = (incoming: HttpIn): Record<string, string> => ({ "x-request-id": incoming.headers["x-request-id"] });
+const whole: Behaviour = function* (incoming) {
+  incoming.send(200, echo(incoming), "reply");
+};
+
+/** An intake before scripted replicas, in virtual time. */
+class Bench {
+  readonly world = new SimWorld(5, () => undefined);
+  readonly seen: Seen[] = [];
+  private readonly caller = this.world.start("caller", new SimDisk(this.world));
+  constructor(bindings: Record<string, Binding>, behaviours: Behaviour[]) {
+    const process = this.world.start("ingress", new SimDisk(this.world));
+    const { env } = process;
+    const state = ControlState.empty();
+    const frame: Frame = {
+      number: 1, control: ControlState.frame({ ...state, manifest: { version: 1, doc: { bindings } } }, 1), members: [],
+      replicas: behaviours.map((_, at) => replica(at)), crowded: {}, fresh: true, vouched: true,
+    };
+    const chooser = new Chooser(env, "i");
+    const ingress = {
+      env, id: "i", names: ownHeaderNames, stopping: false, frame: () => frame, held: () => undefined, note: () => undefined,
+      counts: { lookups: 0, busies: 0, failures: 0 }, chooser, room: new Room(env, chooser, () => undefined),
+      counted: (_name: string, body: () => Task<void>) => body(),
+    } as unknown as IngressNode;
+    const direct = new DirectIntake(ingress);
+    Csp.go(env.scope, "serve", () => env.serveHttp("10.0.0.1:80", (incoming) => direct.serve(incoming)));
+    behaviours.forEach((behave, at) => {
+      const { env: replicaEnv } = this.world.start(`replica-${at}`, new SimDisk(this.world));
+      const serve = (incoming: HttpIn): Task<void> => this.serve(incoming, behave, replicaEnv);
+      Csp.go(replicaEnv.scope, "serve", () => replicaEnv.serveHttp(`10.0.1.${at}:80`, serve));
+    });
+  }
+  private *serve(incoming: HttpIn, behave: Behaviour, env: Env): Task<void> {
+    const body = yield* incoming.body(100_000);
+    if (!body.ok) return;
+    const seen = { method: incoming.method, target: incoming.target, headers: incoming.headers, body: body.value.toString() };
+    this.seen.push(seen);
+    yield* behave(incoming, seen, env);
+  }
+  async ask(path: string, headers: Record<string, string> = {}): Promise<{ status: number; body: string | undefined; headers: Record<string, string> }> {
+    let got: { status: number; body: string | undefined; headers: Record<string, string> } | undefined;
+    const { env } = this.caller;
+    await this.world.run(50);
+    Csp.go(env.scope, "ask", function* () {
+      const replied = yield* env.http("10.0.0.1:80", { method: "POST", path, headers: { host: "kiln.example", "x-request-id": "q1", ...headers }, body: Buffer.from("body"), timeoutMs: 9000 });
+      if (!replied.ok) throw new Error(replied.fault.detail);
+      const reply: HttpReply = replied.value;
+      got = { status: reply.status, headers: reply.headers, body: yield* EnvTools.bodyOf(env, reply, 100_000, 9000) };
+    });
+    await this.world.run(10_000);
+    return got!;
+  }
+}
+
+test("the longest prefix of the host is found, whole segments only", () => {
+  const table = BindingTable.of({ bindings: { a: binding({ prefix: "/" }), b: binding({ prefix: "/x/" }), c: binding({ prefix: "/x/y/" }), d: binding({ host: "other.example", prefix: "/x/y/z/" }) } });
+  const name = (host: string, path: string): string | undefined => table.find(host, path)?.name;
+  expect([name("kiln.example", "/x/y/z/1"), name("KILN.example:80", "/x/yy"), name("kiln.example", "/z"), name("none.example", "/x/")]).toEqual(["c", "b", "a", undefined]);
+});
+test("method, path, query, body and end-to-end headers pass unchanged; the reply comes back as it was", async () => {
+  const bench = new Bench({ desk: binding({}) }, [function* (incoming) {
+    incoming.send(201, { ...echo(incoming), "x-own": "7", connection: "close" }, "done");
+  }]);
+  const got = await bench.ask("/desk/a%20b?x=1&y=%2F", { "x-extra": "e", connection: "x-hop", "x-hop": "1" });
+  expect(bench.seen[0]).toMatchObject({ method: "POST", target: "/desk/a%20b?x=1&y=%2F", body: "body" });
+  expect(bench.seen[0].headers).toMatchObject({ "x-extra": "e", "x-target-instance": "i0", host: "kiln.example" });
+  expect(bench.seen[0].headers["x-hop"]).toBeUndefined();
+  expect(got).toMatchObject({ status: 201, body: "done", headers: { "x-own": "7" } });
+});
+test("what may not be repeated is delivered once: a lost reply is no promise, a plain refusal frees the next round", async () => {
+  const cut: Behaviour = function* (incoming) {
+    incoming.abort();
+  };
+  const lost = new Bench({ desk: binding({ safe: false }) }, [cut, cut, cut]);
+  expect((await lost.ask("/desk/1")).status).toBe(502);
+  expect(lost.seen).toHaveLength(1);
+  const notRun: Behaviour = function* (incoming) {
+    incoming.send(503, { ...echo(incoming), "x-not-run": "1" }, "");
+  };
+  const refused = new Bench({ desk: binding({ safe: false, rounds: 2 }) }, [notRun, notRun, notRun]);
+  const got = await refused.ask("/desk/1");
+  expect(refused.seen).toHaveLength(2);
+  expect([got.status, Number(got.headers["retry-after"]) < 1]).toEqual([503, true]);
+  const second = new Bench({ desk: binding({ safe: false }) }, [notRun, whole]);
+  expect(await second.ask("/desk/1")).toMatchObject({ status: 200, body: "reply" });
+});
+test("a reply of another request reaches nobody; what is safe is tried elsewhere", async () => {
+  const stranger: Behaviour = function* (incoming) {
+    incoming.send(200, { "x-request-id": "another" }, "not yours");
+  };
+  const unsafe = new Bench({ desk: binding({ safe: false }) }, [stranger]);
+  expect((await unsafe.ask("/desk/1")).status).toBe(502);
+  const safe = new Bench({ desk: binding({}) }, [stranger, whole]);
+  expect(await safe.ask("/desk/1")).toMatchObject({ status: 200, body: "reply" });
+});
+test("an exact stream goes on at another replica from the last piece, each piece once", async () => {
+  const half: Behaviour = function* (incoming, seen, env) {
+    const after = Number(seen.headers["last-event-id"] ?? 0);
+    incoming.open(200, { ...echo(incoming), ...sse });
+    for (let n = after + 1; n <= Math.min(after + 2, 6); n += 1) incoming.write(event(n));
+    if (after < 4) incoming.write(event(after + 3).slice(0, 9)); // cut inside an event
+    yield* EnvTools.sleep(env, 20);
+    if (after + 2 < 6) incoming.abort();
+    else incoming.end();
+  };
+  const stream = { kind: "stream" as const, continues: "exact" as const };
+  const bench = new Bench({ desk: binding(stream) }, [half, half, half]);
+  expect(await bench.ask("/desk/1")).toMatchObject({ status: 200, body: [1, 2, 3, 4, 5, 6].map((n) => event(n)).join("") });
+  const ended = new Bench({ desk: binding({ ...stream, safe: false, continues: "no" }) }, [half, half]);
+  expect((await ended.ask("/desk/1")).body).toBeUndefined(); // cut, never ended as if whole
+  expect(ended.seen).toHaveLength(1);
+});
+test("a stream that skips or repeats a piece is not passed on past it", async () => {
+  const skips: Behaviour = function* (incoming) {
+    incoming.open(200, { ...echo(incoming), ...sse });
+    incoming.write(event(1) + event(3));
+    incoming.end();
+  };
+  const bench = new Bench({ desk: binding({ kind: "stream", safe: false }) }, [skips]);
+  expect((await bench.ask("/desk/1")).body).toBeUndefined();
+});
+test("a silent replica is left for another, where that is safe, and is not asked again at once", async () => {
+  const dark: Behaviour = function* (incoming) {
+    yield* Csp.take(incoming.gone);
+  };
+  const bench = new Bench({ desk: binding({}) }, [dark, whole]);
+  for (let n = 0; n < 3; n += 1) expect((await bench.ask(`/desk/${n}`)).status).toBe(200);
+  expect(bench.seen.filter((seen) => seen.headers["x-target-instance"] === "i0").length).toBeLessThanOrEqual(2);
+});
