--- a/src/adapters/operatorHttp.ts
+++ b/src/adapters/operatorHttp.ts
@@ -1,9 +1,10 @@
 import { Constants } from "../constants";
 import { Task } from "../csp/csp";
 import { Env, EnvTools, HttpIn } from "../env/env";
-import { Command } from "../control/controlState";
+import { Command, PolicyLine } from "../control/controlState";
 import { Fault, Result } from "../core/fault";
 import { Host } from "../core/host";
+import { Hash } from "../core/hash";
 import { Ledger } from "../core/ledger";
 import { Node } from "../core/node";
 import { Putter } from "../store/putter";
@@ -32,15 +33,20 @@
     return yield* env.serveHttp(address, (incoming) => Http.dispatch(routes, incoming));
   },
 
+  /** The id of a change that was given none: the same change again has the same. @example OperatorHttp.changeId(incoming, 7, body.text) */
+  changeId: (incoming: HttpIn, ifVersion: number, body: string): string =>
+    `change-${Hash.text(`${incoming.method} ${incoming.path} ${ifVersion} ${body}`)}`,
+  /** If-Match as a version, or a reply that one is needed. @example const ifVersion = OperatorHttp.versionOf(incoming); */
+  versionOf,
   /** @example const routes = OperatorHttp.routes(host, hooks); */
   routes(host: Host, hooks: OperatorHooks): Route[] {
     const { env } = host;
-    const changed = function* (incoming: HttpIn, make: (base: { changeId: string; ifVersion: number; by: string }) => Command): Task<void> {
+    const by = (incoming: HttpIn): string => incoming.headers["x-operator"] || "operator";
+    const changed = function* (incoming: HttpIn, body: string, make: (base: { changeId: string; ifVersion: number; by: string }) => Command): Task<void> {
       const ifVersion = versionOf(incoming);
       if (ifVersion === undefined) return;
-      const changeId = incoming.headers["x-change-id"] || EnvTools.id(env, "change");
-      const by = incoming.headers["x-operator"] || "operator";
-      const done = yield* Host.askControl(host, { op: "change", command: make({ changeId, ifVersion, by }) }, Constants.changeWaitMs);
+      const changeId = incoming.headers["x-change-id"] || OperatorHttp.changeId(incoming, ifVersion, body);
+      const done = yield* Host.askControl(host, { op: "change", command: make({ changeId, ifVersion, by: by(incoming) }) }, Constants.changeWaitMs);
       if (!done.ok) return Http.problem(incoming, done.fault, undefined, { changeId });
       Http.json(incoming, 200, { version: done.value.version, changeId }, { etag: `"${done.value.version}"` });
     };
@@ -58,9 +64,13 @@
         *run(incoming) {
           const body = yield* Http.body(incoming, limit);
           if (!body) return;
-          const checked: Result<any> = what === "manifest" ? OperatorSchemas.manifest(body.value) : OperatorSchemas.policies(body.value);
+          const policies = (): Result<{ doc: PolicyLine[] }> => {
+            const checked = OperatorSchemas.policies(body.value);
+            return checked.ok ? Fault.ok({ doc: checked.value }) : checked;
+          };
+          const checked: Result<{ version?: number; doc: unknown }> = what === "manifest" ? OperatorSchemas.manifestChange(body.value) : policies();
           if (!checked.ok) return Http.problem(incoming, checked.fault);
-          yield* changed(incoming, (base) => ({ tag: what, ...base, doc: checked.value }) as Command);
+          yield* changed(incoming, body.text, (base) => ({ tag: what, ...base, ...checked.value }) as Command);
         },
       },
     ];
@@ -73,6 +83,17 @@
         Http.json(incoming, 200, done.value);
       },
     });
+    /** An order of one word, with no version: said again, it stays as it is. */
+    const ordered = function* (incoming: HttpIn, make: (base: { changeId: string; by: string }) => Record<string, unknown>): Task<void> {
+      const changeId = incoming.headers["x-change-id"] || EnvTools.id(env, "change");
+      const done = yield* Host.askControl(host, make({ changeId, by: by(incoming) }), Constants.changeWaitMs);
+      if (!done.ok) return Http.problem(incoming, done.fault, done.fault.tag === "conflict" ? 409 : undefined, { changeId });
+      Http.json(incoming, 200, { version: done.value.version, changeId });
+    };
+    const drains = (["drain", "undrain"] as const).map((tag): Route => ({
+      method: tag === "drain" ? "POST" : "DELETE", path: /^\/v1\/districts\/([^/]{1,80})\/drain$/,
+      run: (incoming, [district]) => ordered(incoming, (base) => ({ op: "change", command: { tag, ...base, district, at: env.wall() } })),
+    }));
     const number = (incoming: HttpIn, name: string, otherwise: number, most: number): number => {
       const given = Number(incoming.query.get(name) ?? otherwise);
       return Number.isFinite(given) && given >= 0 ? Math.min(given, most) : otherwise;
@@ -80,6 +101,22 @@
     return [
       ...doc("manifest", Constants.manifestLimitBytes),
       ...doc("policies", Constants.bodyLimitBytes),
+      {
+        method: "PATCH", path: /^\/v1\/manifest$/,
+        *run(incoming) {
+          const body = yield* Http.body(incoming, Constants.manifestLimitBytes);
+          if (!body) return;
+          const checked = OperatorSchemas.manifestPatch(body.value);
+          if (!checked.ok) return Http.problem(incoming, checked.fault);
+          yield* changed(incoming, body.text, (base) => ({ tag: "patch", ...base, ...checked.value }));
+        },
+      },
+      ...drains,
+      {
+        method: "POST", path: /^\/v1\/stores\/([^/]{1,120})\/retirement$/,
+        run: (incoming, [store]) => ordered(incoming, (base) => ({ op: "retire", ...base, store })),
+      },
+      reading(/^\/v1\/stores\/([^/]{1,120})\/retirement$/, (_incoming, [id]) => Host.askControl(host, { op: "read", what: "retirement", id }, 4000)),
       reading(/^\/v1\/calendar$/, () => Host.askControl(host, { op: "read", what: "calendar" }, 4000)),
       reading(/^\/v1\/calendar\/([^/]+)$/, (_incoming, [id]) => Host.askControl(host, { op: "read", what: "calendar", id }, 4000)),
       reading(/^\/v1\/changes\/([^/]+)$/, (_incoming, [id]) => Host.askControl(host, { op: "read", what: "change", id }, 4000)),
@@ -90,13 +127,13 @@
           if (!body) return;
           const checked = OperatorSchemas.calendar(body.value, env.wall());
           if (!checked.ok) return Http.problem(incoming, checked.fault);
-          yield* changed(incoming, (base) => ({ tag: "pencil", ...base, id, due: checked.value.due, move: checked.value.move }));
+          yield* changed(incoming, body.text, (base) => ({ tag: "pencil", ...base, id, due: checked.value.due, move: checked.value.move }));
         },
       },
       {
         method: "DELETE", path: /^\/v1\/calendar\/([A-Za-z0-9._-]{1,80})$/,
         *run(incoming, [id]) {
-          yield* changed(incoming, (base) => ({ tag: "erase", ...base, id }));
+          yield* changed(incoming, "", (base) => ({ tag: "erase", ...base, id }));
         },
       },
       {
--- a/src/adapters/operatorSchemas.ts
+++ b/src/adapters/operatorSchemas.ts
@@ -1,25 +1,54 @@
 import Ajv, { ValidateFunction } from "ajv";
 import { Constants } from "../constants";
 import { Manifest, Move, PolicyLine } from "../control/controlState";
+import { ManifestPatch, Manifests } from "../control/manifests";
 import { Fault, Result } from "../core/fault";
 import { Announcement } from "../core/host";
 
 const name = { type: "string", pattern: "^[A-Za-z0-9._-]{1,80}$" };
 const age = { type: "integer", minimum: 1 };
+const positive = { type: "number", exclusiveMinimum: 0 };
+const atLeast0 = { type: "number", minimum: 0 };
+const split = {
+  type: "array", minItems: 1, maxItems: 100,
+  items: { type: "object", additionalProperties: false, required: ["pool", "weight"], properties: { pool: name, weight: atLeast0 } },
+};
+const bindingSchema = {
+  type: "object", additionalProperties: false, required: ["kind", "pool", "path"],
+  properties: {
+    kind: { enum: ["lookup", "stream", "item"] }, pool: name, path: { type: "string", pattern: "^/" },
+    safe: { type: "boolean", default: false }, deadlineMs: { type: "number", minimum: 1, maximum: Constants.deadlineMaxMs, default: Constants.requestDeadlineMs },
+    continues: { enum: ["exact", "no"], default: "no" }, prefixBytes: { type: "integer", minimum: 0, maximum: 65_536, default: 1024 },
+    host: { type: "string", minLength: 1, maxLength: 255 }, prefix: { type: "string", pattern: "^/(.*/)?$", maxLength: 2000 }, split,
+    targetMs: positive, order: { type: "integer", minimum: 0, maximum: 1000 }, rounds: { type: "integer", minimum: 1, maximum: 100 },
+    pieceGapMs: positive, affinity: { type: "boolean" }, completionMs: positive, giveUpMs: positive, maxWaitingTokens: atLeast0, origin: {},
+  },
+  dependentRequired: { host: ["prefix"], prefix: ["host"] },
+};
+const poolSchema = {
+  type: "object", additionalProperties: false,
+  properties: {
+    probePath: { type: "string", pattern: "^/" }, connections: { type: "integer", minimum: 1 }, warmMs: atLeast0, warmPerSecond: atLeast0,
+    engine: { type: "object", additionalProperties: false, required: ["slots", "memoryTokens"], properties: { slots: age, memoryTokens: age } },
+    origin: {},
+  },
+};
+const limitsSchema = { type: "object", additionalProperties: false, properties: { headerBytes: age, bodyBytes: age, headerMs: positive, idleMs: positive } };
+const byName = (item: unknown): unknown => ({ type: "object", propertyNames: { pattern: name.pattern }, additionalProperties: item });
+const nameList = { type: "array", items: name, maxItems: 10_000 };
+const version = { type: "integer", minimum: 1 };
+const patchSchema = {
+  type: "object", additionalProperties: false,
+  properties: {
+    version, limits: limitsSchema,
+    upsert: { type: "object", additionalProperties: false, default: {}, properties: { bindings: byName(bindingSchema), pools: byName(poolSchema) } },
+    remove: { type: "object", additionalProperties: false, default: {}, properties: { bindings: nameList, pools: nameList } },
+  },
+};
 const manifestSchema = {
   type: "object", additionalProperties: false, required: ["bindings"],
   properties: {
-    bindings: {
-      type: "object", propertyNames: { pattern: "^[A-Za-z0-9._-]{1,80}$" },
-      additionalProperties: {
-        type: "object", additionalProperties: false, required: ["kind", "pool", "path"],
-        properties: {
-          kind: { enum: ["lookup", "stream", "item"] }, pool: name, path: { type: "string", pattern: "^/" },
-          safe: { type: "boolean", default: false }, deadlineMs: { type: "integer", minimum: 50, maximum: 600_000, default: Constants.requestDeadlineMs },
-          continues: { enum: ["exact", "no"], default: "no" }, prefixBytes: { type: "integer", minimum: 0, maximum: 65_536, default: 1024 },
-        },
-      },
-    },
+    bindings: byName(bindingSchema), pools: byName(poolSchema), limits: limitsSchema, origin: {},
     retention: {
       type: "object", additionalProperties: false, properties: { lotsMs: age, requestsMs: age, ledgerMs: age },
     },
@@ -32,6 +61,7 @@
     },
   },
 };
+const versionedSchema = { ...manifestSchema, properties: { version, ...manifestSchema.properties } };
 const names = { type: "array", items: { type: "string", minLength: 1, maxLength: 80 }, uniqueItems: true };
 const policiesSchema = {
   type: "array", maxItems: 200,
@@ -74,6 +104,7 @@
   properties: {
     id: text, address: { type: "string", pattern: "^[0-9.]+:[0-9]{1,5}$" }, pool: name, district: text, version: { type: "string", maxLength: 80, default: "" },
     capacity: { type: "integer", minimum: 1, maximum: 10_000 }, active: { ...count, default: 0 }, waiting: { ...count, default: 0 }, instance: { type: "string", minLength: 1, maxLength: 80 },
+    leaving: { type: "boolean" }, warmLeftMs: atLeast0, sequence: { type: "integer", minimum: 0 },
   },
 };
 const lotSchema = {
@@ -83,7 +114,7 @@
 const recoverySchema = { type: "object", additionalProperties: false, required: ["group", "voter", "acceptLoss"], properties: { group: text, voter: text, acceptLoss: { const: true } } };
 const ajv = new Ajv({ allErrors: true, useDefaults: true, strict: false });
 const compiled = {
-  manifest: ajv.compile(manifestSchema), policies: ajv.compile(policiesSchema), calendar: ajv.compile(calendarSchema),
+  manifest: ajv.compile(manifestSchema), versioned: ajv.compile(versionedSchema), patch: ajv.compile(patchSchema), policies: ajv.compile(policiesSchema), calendar: ajv.compile(calendarSchema),
   announcement: ajv.compile(announcementSchema), lot: ajv.compile(lotSchema), recovery: ajv.compile(recoverySchema),
 };
 function run<T>(check: ValidateFunction, what: string, candidate: unknown): Result<T> {
@@ -94,6 +125,10 @@
   return { ok: false, fault: { tag: "invalid", step: `check ${what}`, member: "operator", detail: `${what} is wrong`, paths: [...new Set(paths)] } };
 }
 
+const manifestWrong = (paths: string[]): Result<never> => ({
+  ok: false, fault: { tag: "invalid", step: "check manifest", member: "operator", detail: "manifest is wrong", paths },
+});
+
 /**
  * Checks of what comes from outside; defaults are filled in.
  *
@@ -106,11 +141,27 @@
   manifest(candidate: unknown): Result<Manifest> {
     const checked = run<Manifest>(compiled.manifest, "manifest", candidate);
     if (!checked.ok) return checked;
+    const faults = Manifests.faults(checked.value);
+    if (faults.length > 0) return manifestWrong(faults);
     const longest = Math.max(0, ...Object.values(checked.value.bindings).map((binding) => binding.deadlineMs));
     const short = Object.entries(checked.value.retention ?? {}).filter(([, keepMs]) => keepMs < longest);
     if (short.length === 0) return checked;
-    const paths = short.map(([setting]) => `/retention/${setting}: must not be shorter than the longest deadline, ${longest}`);
-    return { ok: false, fault: { tag: "invalid", step: "check manifest", member: "operator", detail: "manifest is wrong", paths } };
+    return manifestWrong(short.map(([setting]) => `/retention/${setting}: must not be shorter than the longest deadline, ${longest}`));
+  },
+  /** A whole manifest as it is put, with the operator's own version if one is given. @example OperatorSchemas.manifestChange({ version: 7, bindings }) */
+  manifestChange(candidate: unknown): Result<{ version?: number; doc: Manifest }> {
+    const checked = run<Manifest & { version?: number }>(compiled.versioned, "manifest", candidate);
+    if (!checked.ok) return checked;
+    const { version: given, ...doc } = checked.value;
+    const whole = OperatorSchemas.manifest(doc);
+    return whole.ok ? Fault.ok({ ...(given === undefined ? {} : { version: given }), doc: whole.value }) : whole;
+  },
+  /** A change by item; what results is checked where it is applied. @example OperatorSchemas.manifestPatch({ remove: { bindings: ["b"] } }) */
+  manifestPatch(candidate: unknown): Result<{ version?: number; patch: ManifestPatch }> {
+    const checked = run<ManifestPatch & { version?: number }>(compiled.patch, "manifest patch", candidate);
+    if (!checked.ok) return checked;
+    const { version: given, ...patch } = checked.value;
+    return Fault.ok({ ...(given === undefined ? {} : { version: given }), patch });
   },
   policies: (candidate: unknown): Result<PolicyLine[]> => run(compiled.policies, "policies", candidate),
   /** Due becomes milliseconds; "now" is now. @example OperatorSchemas.calendar({ due: "now", move }, Date.now()) */
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -28,9 +28,11 @@
   newsFanout: 3, // members told at once
   digestPeriodMs: 500, // ms; digests compared with one member; mends gaps well inside two seconds
   replicaGrantMs: 4000, // ms; a replica not heard of for this long is not chosen
-  replicaRenewMs: 1200, // ms; an unchanged announcement is passed on this often
+  replicaRenewMs: 900, // ms; an unchanged announcement is passed on at most this often: under the usual pause between two
   tombstoneMs: 30_000, // ms; outlives every grant, so a goodbye is never undone by old news
 
+  warmJitterMs: 250, // ms; an end of warming that moves by less, with delays on the way, is no news
+  goodbyeToldMs: 300, // ms; a goodbye is acknowledged once another member has it, at the latest after this
   goodbyeHoldMs: 5000, // ms; a replica without instance names may come back this long after its goodbye
 
   // --- freezes ---
@@ -46,9 +48,11 @@
   groupLogKeep: 400, // entries; log is folded into a slot past this length
   proposeTimeoutMs: 1800, // ms; an operator waits this long before fate is called unknown
   voterGoneMs: 4000, // ms; a voter silent for this long is replaced by a caught-up standby
+  dutyPeriodMs: 150, // ms; the lead looks at its voters
   recoveredIndexes: 1_000_000, // indexes; a recovered group begins so far above its voter's log, past all that the lost voters may have had
   recoveredEpochs: 1_000_000, // epochs; the same for shard views
-  voters: 3, // members; a cut in two of four always leaves two of three on one side
+  losses: 1, // machines; lost at once, where settings don't say: three voters, so that a cut in two of four leaves two of three on one side
+  groupGrowMs: 4000, // ms; a founded group that is short of voters takes no first change for so long
   foundRetryMs: 300, // ms; founders ask each other again
   changesKept: 2000, // change outcomes; asked after by change id
   standbyLagMax: 20, // entries; a standby this close may become a voter
@@ -93,6 +97,7 @@
   replyLimitBytes: 4_194_304, // bytes; a replica that replies more than this has failed
   frameLimitBytes: 33_554_432, // bytes; one frame between processes
   changeWaitMs: 6000, // ms; an operator's change is followed through a change of lead this long
+  deadlineMaxMs: 600_000, // ms; a binding's deadline, at most: refusals are remembered for longer
   requestDeadlineMs: 10_000, // ms; when neither caller nor binding says
   lookupRounds: 3, // rounds; a safe lookup is tried on this many replicas
   liveBuffer: 64, // requests; waiting for room at one ingress, per class
--- a/src/control/calendar.ts
+++ b/src/control/calendar.ts
@@ -92,12 +92,11 @@
           const staying = this.views.staying(move.store);
           const known = this.node.membership.find(move.store);
           if (!known || known.program !== "store") yield* this.mark(entry, "failed", `no store ${move.store}`);
-          else if (staying.length < Constants.minCopiesForLots + 1) yield* this.mark(entry, "failed", `too few stores would stay: ${staying.length}, needed ${Constants.minCopiesForLots + 1}`);
+          else if (staying.length < this.views.copiesWanted) yield* this.mark(entry, "failed", `too few stores would stay: ${staying.length}, needed ${this.views.copiesWanted}`);
           else yield* this.mark(entry, "started", "");
           return;
         }
-        if (this.views.remaining(move.store) === 0) yield* this.mark(entry, "finished", "no copy is left on the store");
-        else yield* EnvTools.sleep(this.env, Constants.drainSettleMs);
+        if (this.views.emptied(move)) yield* this.mark(entry, "finished", "no copy is left on the store");
         return;
       }
       default: {
--- a/src/control/controlNode.ts
+++ b/src/control/controlNode.ts
@@ -9,7 +9,7 @@
 import { OperatorHttp } from "../adapters/operatorHttp";
 import { Putter } from "../store/putter";
 import { Calendar } from "./calendar";
-import { Command, ControlState, Outcome, View } from "./controlState";
+import { CalendarEntry, Command, ControlState, Outcome, View } from "./controlState";
 import { Group } from "./group";
 import { Views } from "./views";
 
@@ -25,11 +25,14 @@
   readonly views: Views;
   readonly calendar: Calendar;
   private readonly putter: Putter;
+  /** A majority stays when as many as may be lost at once are lost. */
+  private readonly votersWanted: number;
   private constructor(
     readonly env: Env,
     readonly settings: Settings,
     readonly node: Node,
   ) {
+    this.votersWanted = 2 * (settings.losses ?? Constants.losses) + 1;
     this.group = new Group(env, node.rpc, node.self.id, new TwoSlots(env, `${settings.data}/group`), {
       addressOf: (id) => node.addressOf(id),
       others: () => node.membership.alive("control").map((member) => member.id).filter((id) => id !== node.self.id),
@@ -132,7 +135,7 @@
         continue;
       }
       const group = EnvTools.id(this.env, "group");
-      const voters = ids.slice(0, Constants.voters);
+      const voters = ids.slice(0, this.votersWanted);
       const own = yield* this.group.found(group, voters);
       if (!own.ok) {
         this.env.log(1404, { fault: own.fault });
@@ -167,30 +170,49 @@
     }
     return yield* group.recover(body, views);
   }
-  /** Voters that are gone are replaced by a caught-up standby, one change at a time. */
+  /** A voter that is gone: its folder is another's at the same address, or it was silent for long. */
+  private voterGone(id: string): boolean {
+    const { node, group } = this;
+    if (id === node.self.id) return false;
+    const member = node.membership.find(id);
+    if (!member) return this.env.mono() - group.leadSince > Constants.voterGoneMs;
+    if (member.state !== "dead" && member.state !== "left") return false;
+    if (node.membership.alive("control").some((other) => other.address === member.address)) return true;
+    return node.membership.stateAge(id) > Constants.voterGoneMs - Constants.suspicionMs;
+  }
+  /** The next voters, one change at a time: gone ones are replaced by a caught-up standby, a short group grows. */
+  private nextVoters(): string[] | undefined {
+    const { group, node } = this;
+    const voters = group.voters();
+    const gone = voters.find((id) => this.voterGone(id));
+    if (voters.length > this.votersWanted) {
+      const surplus = gone ?? voters.filter((id) => id !== node.self.id).sort((left, right) => group.lag(right) - group.lag(left))[0];
+      return voters.filter((id) => id !== surplus);
+    }
+    if (!gone && voters.length === this.votersWanted) return undefined;
+    const standbys = node.membership.alive("control").map((member) => member.id).filter((id) => !voters.includes(id) && id !== node.self.id);
+    const standby = standbys.find((id) => group.lag(id) <= Constants.standbyLagMax);
+    return standby ? [...voters, standby] : undefined;
+  }
   private *dutyLoop(): Task<void> {
     for (;;) {
-      yield* EnvTools.sleep(this.env, 500);
-      const { group, node } = this;
-      if (!group.holdsLead() || this.env.mono() - group.leadSince < Constants.voterGoneMs) continue;
-      const voters = group.voters();
-      const gone = voters.find((id) => {
-        const member = node.membership.find(id);
-        return id !== node.self.id && (!member || ((member.state === "dead" || member.state === "left") && node.membership.stateAge(id) > Constants.voterGoneMs - Constants.suspicionMs));
-      });
-      let next: string[] | undefined;
-      if (voters.length > Constants.voters) {
-        const surplus = gone ?? [...voters].filter((id) => id !== node.self.id).sort((left, right) => group.lag(right) - group.lag(left))[0];
-        next = voters.filter((id) => id !== surplus);
-      } else if (gone || voters.length < Constants.voters) {
-        const standby = node.membership.alive("control").map((member) => member.id).find((id) => !voters.includes(id) && id !== node.self.id && group.lag(id) <= Constants.standbyLagMax);
-        if (standby) next = [...voters, standby];
-      }
-      if (!next) continue;
-      const outcome = yield* group.propose({ tag: "voters", voters: next }, Constants.proposeTimeoutMs);
-      if (outcome.ok) this.env.log(1305, { voters: next });
+      yield* EnvTools.sleep(this.env, Constants.dutyPeriodMs);
+      if (!this.group.holdsLead()) continue;
+      const voters = this.nextVoters();
+      if (!voters) continue;
+      const outcome = yield* this.group.propose({ tag: "voters", voters }, Constants.proposeTimeoutMs);
+      if (outcome.ok) this.env.log(1305, { voters });
     }
   }
+  /** A group founded by fewer than it needs takes no first change until it has grown, or has waited long enough. */
+  private growing(): boolean {
+    const { manifest, policies, calendar } = this.group.state;
+    const first = manifest.version === 0 && policies.version === 0 && Object.keys(calendar).length === 0;
+    if (!first || this.group.state.voters.length >= this.votersWanted) return false;
+    const waiting = this.env.mono() - this.group.leadSince < Constants.groupGrowMs;
+    if (!waiting) this.env.log(1309, { voters: this.group.state.voters.length, wanted: this.votersWanted });
+    return waiting;
+  }
   /** Decisions of control reach the ledger keyed by log index, so that a repeat adds nothing. */
   private *tellLoop(): Task<void> {
     for (;;) {
@@ -213,33 +235,48 @@
   private *operate(body: any): Task<Result<any>> {
     const { group } = this;
     if (!group.holdsLead()) return Fault.fail("notLead", "control op", this.node.self.id, group.role === "lead" ? "" : this.node.addressOf(group.lead) ?? "");
-    const state = group.state;
     switch (body.op) {
       case "read":
-        return Fault.ok(this.read(state, body.what, body.id));
-      case "change": {
-        const command = body.command as Command;
-        const known = "changeId" in command ? state.changes[command.changeId] : undefined;
-        const outcome: Result<Outcome> = known ? Fault.ok(known) : yield* group.propose(command, Constants.proposeTimeoutMs);
-        if (!outcome.ok) return outcome;
-        switch (outcome.value.tag) {
-          case "done":
-            this.env.log(1306, { tag: command.tag, version: outcome.value.version });
-            return Fault.ok({ version: outcome.value.version });
-          case "conflict":
-            return Fault.fail("conflict", "change", this.node.self.id, `current version is ${outcome.value.version}`);
-          case "refused":
-            return Fault.fail("invalid", "change", this.node.self.id, outcome.value.detail);
-          default: {
-            const never: never = outcome.value;
-            return never;
-          }
-        }
-      }
+        return Fault.ok(this.read(group.state, body.what, body.id));
+      case "change":
+        return yield* this.change(body.command);
+      case "retire":
+        return yield* this.retire(body);
       default:
         return Fault.fail("invalid", "control op", this.node.self.id, `unknown op ${String(body.op)}`);
     }
   }
+  private *change(command: Command): Task<Result<{ version: number }>> {
+    const { group } = this;
+    const known = "changeId" in command ? group.state.changes[command.changeId] : undefined;
+    if (!known && this.growing()) return Fault.busy("change", this.node.self.id, "the control group has not all its voters yet", Constants.retryAfterMs);
+    const outcome: Result<Outcome> = known ? Fault.ok(known) : yield* group.propose(command, Constants.proposeTimeoutMs);
+    if (!outcome.ok) return outcome;
+    switch (outcome.value.tag) {
+      case "done":
+        this.env.log(1306, { tag: command.tag, version: outcome.value.version });
+        return Fault.ok({ version: outcome.value.version });
+      case "conflict":
+        return Fault.fail("conflict", "change", this.node.self.id, `current version is ${outcome.value.version}`);
+      case "refused":
+        return Fault.fail("invalid", "change", this.node.self.id, outcome.value.detail);
+      default: {
+        const never: never = outcome.value;
+        return never;
+      }
+    }
+  }
+  /** A store is to be emptied, named by its machine or its id: refused where it is not known, or too few would stay. */
+  private *retire(body: { changeId: string; store: string; by: string }): Task<Result<{ version: number }>> {
+    const stores = this.node.membership.all().filter((member) => member.program === "store" && (member.id === body.store || member.name === body.store));
+    const store = stores.find((member) => member.state === "alive" || member.state === "suspect") ?? stores[0];
+    if (!store) return Fault.fail("notFound", "retire", this.node.self.id, `no store ${body.store}`);
+    const needed = this.views.copiesWanted;
+    const staying = this.views.knownWithout(store);
+    if (!this.group.state.retiring.includes(store.id) && staying < needed)
+      return Fault.fail("conflict", "retire", this.node.self.id, `too few stores would stay: ${staying}, needed ${needed}`);
+    return yield* this.change({ tag: "retire", changeId: body.changeId, store: store.id, name: body.store, by: body.by, at: this.env.wall() });
+  }
   private read(state: ControlState, what: string, id: string): unknown {
     switch (what) {
       case "manifest":
@@ -250,12 +287,19 @@
         return id ? state.calendar[id] ?? null : { entries: Object.values(state.calendar).sort((left, right) => left.due - right.due) };
       case "change":
         return state.changes[id] ?? null;
+      case "retirement":
+        return this.retirement(state, id);
       case "views":
         return state.views;
       default:
         return null;
     }
   }
+  /** The newest retirement of a store, by its id or its machine's name. */
+  private retirement(state: ControlState, store: string): CalendarEntry | null {
+    const entries = Object.values(state.calendar).filter(({ move }) => move.kind === "retire" && (move.store === store || move.name === store));
+    return entries.sort((left, right) => right.due - left.due)[0] ?? null;
+  }
   /** SIGTERM: the lead is left to the others. @example yield* control.stop(); */
   stop(): Task<void> {
     return this.node.depart();
--- a/src/control/controlState.ts
+++ b/src/control/controlState.ts
@@ -1,4 +1,5 @@
 import { Constants } from "../constants";
+import { ManifestPatch, Manifests } from "./manifests";
 
 export type Binding = {
   kind: "lookup" | "stream" | "item";
@@ -52,7 +53,7 @@
   | { kind: "rollback"; pool: string } // back to what was before the pool's last release
   | { kind: "drain"; district: string; until?: number }
   | { kind: "undrain"; district: string }
-  | { kind: "retire"; store: string }
+  | { kind: "retire"; store: string; name?: string } // name: the machine's, where the order named that
   | { kind: "manifest"; ifVersion: number; doc: Manifest };
 export type View = { shard: number; epoch: number; members: string[]; lead: string };
 /** Which version of a pool new work goes to ("": any), and which was withdrawn: it gets none while others are there. */
@@ -63,10 +64,13 @@
   | { tag: "noop" }
   | { tag: "found"; group: string; voters: string[] }
   | { tag: "voters"; voters: string[] }
-  | { tag: "manifest"; changeId: string; ifVersion: number; doc: Manifest; by: string }
+  | { tag: "manifest"; changeId: string; ifVersion: number; version?: number; doc: Manifest; by: string }
+  | { tag: "patch"; changeId: string; ifVersion: number; version?: number; patch: ManifestPatch; by: string }
   | { tag: "policies"; changeId: string; ifVersion: number; doc: PolicyLine[]; by: string }
   | { tag: "pencil"; changeId: string; ifVersion: number; id: string; due: number; move: Move; by: string }
   | { tag: "erase"; changeId: string; ifVersion: number; id: string; by: string }
+  | { tag: "drain" | "undrain"; changeId: string; district: string; by: string; at: number }
+  | { tag: "retire"; changeId: string; store: string; name: string; by: string; at: number }
   | { tag: "move"; id: string; from: Fate; to: Fate; detail: string; at: number }
   | { tag: "view"; view: View; reason: string }
   | { tag: "told"; upTo: number };
@@ -84,6 +88,7 @@
   changeOrder: string[];
   untold: Decision[];
   epochFloor: number; // views of a recovered group begin above every epoch that the former could give
+  frameIndex?: number; // of the last entry that changed what nodes are told; absent in a state kept by an older version
 };
 /** What every node is told of the control state. */
 export type ControlFrame = Pick<ControlState, "group" | "voters" | "manifest" | "policies" | "views" | "drained" | "retiring" | "releases"> & {
@@ -94,17 +99,68 @@
   state.untold.push({ index, subject, decision, cause });
 };
 
-/** The version check and the memory of outcomes that every operator's change goes through. */
-function change(state: ControlState, index: number, command: { changeId: string; ifVersion: number; by: string }, subject: string, current: number, apply: () => number): Outcome {
-  const earlier = state.changes[command.changeId];
-  if (earlier) return earlier;
-  const outcome: Outcome = command.ifVersion === current ? { tag: "done", version: apply() } : { tag: "conflict", version: current };
+type Change = { changeId: string; by: string };
+/** What a change came to, remembered by its id for whoever asks again. */
+function settle(state: ControlState, index: number, command: Change, subject: string, outcome: Outcome, told: string): Outcome {
   state.changes[command.changeId] = outcome;
   state.changeOrder.push(command.changeId);
   while (state.changeOrder.length > Constants.changesKept) delete state.changes[state.changeOrder.shift()!];
-  decide(state, index, subject, outcome.tag === "done" ? `accepted as version ${outcome.version}` : `refused: made against version ${command.ifVersion}, current is ${current}`, `change ${command.changeId} by ${command.by}`);
+  decide(state, index, subject, told, `change ${command.changeId} by ${command.by}`);
   return outcome;
 }
+/** The version check and the memory of outcomes that every operator's change goes through; apply gives a version, or why not. */
+function change(
+  state: ControlState, index: number, command: Change & { ifVersion: number }, subject: string, current: number, apply: () => number | string,
+): Outcome {
+  const earlier = state.changes[command.changeId];
+  if (earlier) return earlier;
+  // made against a version still to come: nothing to remember, the same may be well once it is there
+  if (command.ifVersion > current) return { tag: "conflict", version: current };
+  if (command.ifVersion !== current) {
+    const told = `refused: made against version ${command.ifVersion}, current is ${current}`;
+    return settle(state, index, command, subject, { tag: "conflict", version: current }, told);
+  }
+  const applied = apply();
+  if (typeof applied === "string") return settle(state, index, command, subject, { tag: "refused", detail: applied }, `refused: ${applied}`);
+  return settle(state, index, command, subject, { tag: "done", version: applied }, `accepted as version ${applied}`);
+}
+/** Puts a whole manifest in force, under the operator's version or the next; or says why not. */
+function takeManifest(state: ControlState, doc: Manifest, version = state.manifest.version + 1): number | string {
+  if (version <= state.manifest.version) return `version ${version} is not higher than the current one, ${state.manifest.version}`;
+  const [fault] = Manifests.faults(doc);
+  if (fault !== undefined) return fault;
+  state.manifest = { version, doc };
+  return version;
+}
+/** A district drained or given back by one word: in force with this entry. Said again, it stays as it is. */
+function drain(state: ControlState, index: number, command: Extract<Command, { tag: "drain" | "undrain" }>): Outcome {
+  const { tag, district } = command;
+  const earlier = state.changes[command.changeId];
+  if (earlier) return earlier;
+  if (state.drained.includes(district) === (tag === "drain")) return { tag: "done", version: index };
+  const others = state.drained.filter((each) => each !== district);
+  state.drained = tag === "drain" ? [...others, district] : others;
+  const id = `${tag}-${district}-${index}`;
+  const calendar = { ...state.calendar };
+  if (tag === "undrain")
+    for (const entry of Object.values(calendar))
+      if (entry.fate === "started" && entry.move.kind === "drain" && entry.move.district === district)
+        calendar[entry.id] = { ...entry, fate: "finished", detail: `taken back by ${id}`, version: entry.version + 1 };
+  calendar[id] = { id, due: command.at, version: 1, fate: tag === "drain" ? "started" : "finished", move: { kind: tag, district } };
+  state.calendar = calendar;
+  return settle(state, index, command, `move ${id}`, { tag: "done", version: index }, `${tag} in force`);
+}
+/** A store's retirement, started by one word; said again, it is the same one. */
+function retire(state: ControlState, index: number, command: Extract<Command, { tag: "retire" }>): Outcome {
+  const earlier = state.changes[command.changeId];
+  if (earlier) return earlier;
+  if (state.retiring.includes(command.store)) return { tag: "done", version: index };
+  const id = `retire-${command.name}-${index}`;
+  state.retiring = [...state.retiring, command.store];
+  const move: Move = { kind: "retire", store: command.store, name: command.name };
+  state.calendar = { ...state.calendar, [id]: { id, due: command.at, version: 1, fate: "started", move } };
+  return settle(state, index, command, `move ${id}`, { tag: "done", version: index }, `retire ${command.store} started`);
+}
 
 function applyMove(state: ControlState, index: number, command: Extract<Command, { tag: "move" }>): Outcome {
   const entry = state.calendar[command.id];
@@ -142,10 +198,11 @@
     }
     case "manifest":
       if (fate === "finished") {
-        if (move.ifVersion === state.manifest.version) state.manifest = { version: state.manifest.version + 1, doc: move.doc };
-        else {
+        const current = state.manifest.version;
+        const taken = move.ifVersion === current ? takeManifest(state, move.doc) : `made against version ${move.ifVersion}, current is ${current}`;
+        if (typeof taken === "string") {
           fate = "failed";
-          detail = `made against version ${move.ifVersion}, current is ${state.manifest.version}`;
+          detail = taken;
         }
       }
       break;
@@ -159,6 +216,75 @@
   return { tag: "done", version: entry.version + 1 };
 }
 
+function applyOne(state: ControlState, index: number, command: Command): Outcome {
+  switch (command.tag) {
+    case "noop":
+      return { tag: "done", version: index };
+    case "found":
+      state.group = command.group;
+      state.voters = command.voters;
+      decide(state, index, "control group", `founded with voters ${command.voters.join(", ")}`, "all founders empty and agreed");
+      return { tag: "done", version: index };
+    case "voters":
+      state.voters = command.voters;
+      decide(state, index, "control group", `voters are ${command.voters.join(", ")}`, "voter replaced or removed");
+      return { tag: "done", version: index };
+    case "manifest":
+      return change(state, index, command, "manifest", state.manifest.version, () => takeManifest(state, command.doc, command.version));
+    case "patch": {
+      const doc = Manifests.patched(state.manifest.doc, command.patch);
+      return change(state, index, command, "manifest", state.manifest.version, () => takeManifest(state, doc, command.version));
+    }
+    case "drain":
+    case "undrain":
+      return drain(state, index, command);
+    case "retire":
+      return retire(state, index, command);
+    case "policies":
+      return change(state, index, command, "policies", state.policies.version, () => {
+        state.policies = { version: state.policies.version + 1, doc: command.doc };
+        return state.policies.version;
+      });
+    case "pencil": {
+      const entry = state.calendar[command.id];
+      if (entry && entry.fate !== "pencilled" && entry.fate !== "removed" && !state.changes[command.changeId])
+        return { tag: "refused", detail: `move is ${entry.fate}` };
+      return change(state, index, command, `move ${command.id}`, entry?.version ?? 0, () => {
+        const version = (entry?.version ?? 0) + 1;
+        state.calendar = { ...state.calendar, [command.id]: { id: command.id, due: command.due, version, fate: "pencilled", move: command.move } };
+        return version;
+      });
+    }
+    case "erase": {
+      const entry = state.calendar[command.id];
+      if (!entry || (entry.fate !== "pencilled" && !state.changes[command.changeId])) return { tag: "refused", detail: `move is ${entry ? entry.fate : "not there"}` };
+      return change(state, index, command, `move ${command.id}`, entry.version, () => {
+        state.calendar = { ...state.calendar, [command.id]: { ...entry, fate: "removed", version: entry.version + 1 } };
+        return entry.version + 1;
+      });
+    }
+    case "move":
+      return applyMove(state, index, command);
+    case "view": {
+      const current = state.views[command.view.shard];
+      if ((current?.epoch ?? 0) >= command.view.epoch) return { tag: "conflict", version: current!.epoch };
+      state.views = { ...state.views, [command.view.shard]: command.view };
+      decide(state, index, `shard ${command.view.shard}`, `view ${command.view.epoch}: ${command.view.members.join(", ")} led by ${command.view.lead}`, command.reason);
+      return { tag: "done", version: command.view.epoch };
+    }
+    case "told":
+      state.untold = state.untold.filter((decision) => decision.index > command.upTo);
+      return { tag: "done", version: index };
+    default: {
+      const never: never = command;
+      return never;
+    }
+  }
+}
+/** What a frame is made of; each part is replaced whole when it changes. */
+const told = (state: ControlState): unknown[] =>
+  [state.group, state.voters, state.manifest, state.policies, state.views, state.drained, state.retiring, state.releases];
+
 /**
  * The control group's state machine: the operator's word and the shard views.
  *
@@ -173,63 +299,10 @@
   }),
   /** @example ControlState.apply(state, 7, command).tag === "done" */
   apply(state: ControlState, index: number, command: Command): Outcome {
-    switch (command.tag) {
-      case "noop":
-        return { tag: "done", version: index };
-      case "found":
-        state.group = command.group;
-        state.voters = command.voters;
-        decide(state, index, "control group", `founded with voters ${command.voters.join(", ")}`, "all founders empty and agreed");
-        return { tag: "done", version: index };
-      case "voters":
-        state.voters = command.voters;
-        decide(state, index, "control group", `voters are ${command.voters.join(", ")}`, "voter replaced or removed");
-        return { tag: "done", version: index };
-      case "manifest":
-        return change(state, index, command, "manifest", state.manifest.version, () => {
-          state.manifest = { version: state.manifest.version + 1, doc: command.doc };
-          return state.manifest.version;
-        });
-      case "policies":
-        return change(state, index, command, "policies", state.policies.version, () => {
-          state.policies = { version: state.policies.version + 1, doc: command.doc };
-          return state.policies.version;
-        });
-      case "pencil": {
-        const entry = state.calendar[command.id];
-        if (entry && entry.fate !== "pencilled" && entry.fate !== "removed" && !state.changes[command.changeId])
-          return { tag: "refused", detail: `move is ${entry.fate}` };
-        return change(state, index, command, `move ${command.id}`, entry?.version ?? 0, () => {
-          const version = (entry?.version ?? 0) + 1;
-          state.calendar = { ...state.calendar, [command.id]: { id: command.id, due: command.due, version, fate: "pencilled", move: command.move } };
-          return version;
-        });
-      }
-      case "erase": {
-        const entry = state.calendar[command.id];
-        if (!entry || (entry.fate !== "pencilled" && !state.changes[command.changeId])) return { tag: "refused", detail: `move is ${entry ? entry.fate : "not there"}` };
-        return change(state, index, command, `move ${command.id}`, entry.version, () => {
-          state.calendar = { ...state.calendar, [command.id]: { ...entry, fate: "removed", version: entry.version + 1 } };
-          return entry.version + 1;
-        });
-      }
-      case "move":
-        return applyMove(state, index, command);
-      case "view": {
-        const current = state.views[command.view.shard];
-        if ((current?.epoch ?? 0) >= command.view.epoch) return { tag: "conflict", version: current!.epoch };
-        state.views = { ...state.views, [command.view.shard]: command.view };
-        decide(state, index, `shard ${command.view.shard}`, `view ${command.view.epoch}: ${command.view.members.join(", ")} led by ${command.view.lead}`, command.reason);
-        return { tag: "done", version: command.view.epoch };
-      }
-      case "told":
-        state.untold = state.untold.filter((decision) => decision.index > command.upTo);
-        return { tag: "done", version: index };
-      default: {
-        const never: never = command;
-        return never;
-      }
-    }
+    const before = told(state);
+    const outcome = applyOne(state, index, command);
+    if (told(state).some((part, at) => part !== before[at])) state.frameIndex = index;
+    return outcome;
   },
   /** How often a group was recovered from one voter: its name carries it. @example ControlState.generation("group-a+2") // 2 */
   generation: (group: string): number => Number(/\+(\d+)$/.exec(group)?.[1] ?? 0),
@@ -244,14 +317,16 @@
     state.group = `${state.group.replace(/\+\d+$/, "")}+${generation}`;
     state.voters = [voter];
     state.epochFloor = generation * Constants.recoveredEpochs;
+    state.frameIndex = index;
     for (const view of views) if (view.epoch > (state.views[view.shard]?.epoch ?? 0)) state.views[view.shard] = view;
     const detail = `recovered as ${state.group} from voter ${voter} alone; what only ${lost.join(", ")} had acknowledged is lost`;
     decide(state, index, "control group", detail, `operator's word by ${by}`);
     return state;
   },
-  /** @example ControlState.frame(state, 12).index // 12 */
+  /** What nodes are told, under the index of the entry that last changed it. @example ControlState.frame(state, 12).index */
   frame: (state: ControlState, index: number): ControlFrame => ({
-    group: state.group, index, voters: state.voters, manifest: state.manifest, policies: state.policies,
+    group: state.group, index: state.frameIndex ?? index, voters: state.voters,
+    manifest: { version: state.manifest.version, doc: Manifests.bare(state.manifest.doc) }, policies: state.policies,
     views: state.views, drained: state.drained, retiring: state.retiring, releases: state.releases,
   }),
 };
--- a/src/control/group.ts
+++ b/src/control/group.ts
@@ -179,9 +179,13 @@
     return this.base.voters;
   }
   private majority = (): number => Math.floor(this.voters().length / 2) + 1;
-  /** Whether the lead's grant, counted from before the asking, still stands. @example if (!group.holdsLead()) return; */
+  /**
+   * Whether the lead's grant, counted from before the asking, still stands, and what was committed before its time is
+   * applied here: an entry of its own term is committed.
+   * @example if (!group.holdsLead()) return;
+   */
   holdsLead(): boolean {
-    if (this.role !== "lead") return false;
+    if (this.role !== "lead" || this.termAt(this.applied) !== this.term) return false;
     const now = this.env.mono();
     const heard = this.voters().filter((id) => id === this.self || now - (this.followers.get(id)?.heardAt ?? -Infinity) < Constants.controlGrantMs);
     return heard.length >= this.majority();
--- /dev/null
+++ b/src/control/manifests.ts
@@ -0,0 +1,68 @@
+import { Binding, Limits, Manifest, Pool } from "./controlState";
+
+/** A change of a manifest item by item, by name. */
+export type ManifestPatch = {
+  upsert: { bindings?: Record<string, Binding>; pools?: Record<string, Pool> };
+  remove: { bindings?: string[]; pools?: string[] };
+  limits?: Limits;
+};
+const bared = new WeakMap<Manifest, Manifest>();
+const bareItem = <T extends { origin?: unknown }>({ origin: _told, ...rest }: T): Omit<T, "origin"> => rest;
+const mapped = <T, R>(items: Record<string, T>, map: (item: T) => R): Record<string, R> =>
+  Object.fromEntries(Object.entries(items).map(([name, item]) => [name, map(item)]));
+/** An upserted item stays where it stood; a new one comes last. */
+function merged<T>(items: Record<string, T>, upsert: Record<string, T> = {}, remove: string[] = []): Record<string, T> {
+  const gone = new Set(remove);
+  const staying = Object.fromEntries(Object.entries(items).filter(([name]) => !gone.has(name)));
+  return { ...staying, ...upsert };
+}
+function bindingFaults(name: string, binding: Binding, pools: Record<string, Pool> | undefined): string[] {
+  const faults: string[] = [];
+  const unknown = (pool: string): boolean => pools !== undefined && !Object.hasOwn(pools, pool);
+  for (const pool of new Set([binding.pool, ...(binding.split ?? []).map((part) => part.pool)]))
+    if (unknown(pool)) faults.push(`/bindings/${name}: names pool ${pool}, which is not there`);
+  if (binding.split && binding.split.reduce((sum, part) => sum + part.weight, 0) <= 0) faults.push(`/bindings/${name}/split: weights add up to 0`);
+  if (binding.split?.some((part) => part.weight < 0)) faults.push(`/bindings/${name}/split: a weight is under 0`);
+  if (!(binding.deadlineMs > 0)) faults.push(`/bindings/${name}/deadlineMs: must be over 0`);
+  if ((binding.host === undefined) !== (binding.prefix === undefined)) faults.push(`/bindings/${name}: host and prefix go together`);
+  return faults;
+}
+
+/**
+ * What holds for a whole manifest, whoever brings it: checked before it is asked for, and again where it is applied.
+ *
+ * @example
+ * const next = Manifests.patched(doc, { upsert: { bindings: { b } }, remove: {} });
+ * if (Manifests.faults(next).length > 0) return refused;
+ */
+export const Manifests = {
+  /** What is wrong with it, each with its path; none: it is well. @example Manifests.faults(doc)[0] */
+  faults(doc: Manifest): string[] {
+    const faults = Object.entries(doc.bindings).flatMap(([name, binding]) => bindingFaults(name, binding, doc.pools));
+    const places = new Map<string, string>();
+    for (const [name, binding] of Object.entries(doc.bindings)) {
+      if (binding.host === undefined) continue;
+      const place = `${binding.host.toLowerCase()} ${binding.prefix}`;
+      const other = places.get(place);
+      if (other !== undefined) faults.push(`/bindings/${name}: host and prefix are those of ${other}`);
+      else places.set(place, name);
+    }
+    return faults;
+  },
+  /** The manifest after a change by item. @example Manifests.patched(doc, { upsert: {}, remove: { bindings: ["old"] } }) */
+  patched(doc: Manifest, patch: ManifestPatch): Manifest {
+    const pools = doc.pools ?? patch.upsert.pools ? { pools: merged(doc.pools ?? {}, patch.upsert.pools, patch.remove.pools) } : {};
+    const limits = patch.limits ? { limits: patch.limits } : {};
+    return { ...doc, bindings: merged(doc.bindings, patch.upsert.bindings, patch.remove.bindings), ...pools, ...limits };
+  },
+  /** Without the operator's own form, which only control keeps; the same object for the same manifest. @example Manifests.bare(doc).origin // undefined */
+  bare(doc: Manifest): Manifest {
+    let bare = bared.get(doc);
+    if (!bare) {
+      const { pools, ...rest } = bareItem(doc);
+      bare = { ...rest, bindings: mapped(doc.bindings, bareItem) as Record<string, Binding>, ...(pools ? { pools: mapped(pools, bareItem) } : {}) };
+      bared.set(doc, bare);
+    }
+    return bare;
+  },
+};
--- a/src/control/views.ts
+++ b/src/control/views.ts
@@ -28,11 +28,15 @@
   private lastRebalanceAt = -Infinity;
   private troubledSince = new Map<number, number>();
   changed = 0;
+  /** Copies of a shard: after the loss of as many as may be lost at once, two are left. */
+  readonly copiesWanted: number;
   constructor(
     private readonly env: Env,
     private readonly node: Node,
     private readonly group: Group,
-  ) {}
+  ) {
+    this.copiesWanted = (node.settings.losses ?? Constants.losses) + 2;
+  }
 
   /** @example views.start(); */
   start(): void {
@@ -88,6 +92,13 @@
     const { views } = this.group.state;
     return [...Object.values(views), ...[...this.planned.values()].filter((view) => !views[view.shard])];
   }
+  /** Named by a retirement: by its id, or, while the retirement lasts, by its machine's name (an emptied machine has a new id). */
+  private isRetiring(id: string): boolean {
+    const { retiring, calendar } = this.group.state;
+    if (retiring.includes(id)) return true;
+    const machine = this.node.membership.find(id)?.name;
+    return machine !== undefined && Object.values(calendar).some(({ move, fate }) => move.kind === "retire" && fate === "started" && move.name === machine);
+  }
   private load(id: string): number {
     return this.known().filter((view) => view.members.includes(id)).length;
   }
@@ -101,7 +112,7 @@
     const rank = (store: Member): number => (districts.has(store.district) ? 1000 : 0) + this.load(store.id) * 10 + weight.indexOf(store.id);
     return this.node.membership
       .alive("store")
-      .filter((store) => !members.includes(store.id) && this.isUp(store.id) && !this.group.state.retiring.includes(store.id) && !this.statuses.get(store.id)!.stopping && this.statuses.get(store.id)!.vouches && !this.copyOf(store.id, shard)?.broken)
+      .filter((store) => !members.includes(store.id) && this.isUp(store.id) && !this.isRetiring(store.id) && !this.statuses.get(store.id)!.stopping && this.statuses.get(store.id)!.vouches && !this.copyOf(store.id, shard)?.broken)
       .sort((left, right) => rank(left) - rank(right));
   }
 
@@ -151,16 +162,16 @@
     if (reason) return act("new view of", () => this.reconfigure(shard, reason, []));
 
     if (!leadUp || leadCopy?.role !== "lead") return;
-    const retiring = view.members.filter((id) => this.group.state.retiring.includes(id));
-    if (view.members.length - retiring.length < Constants.copies) {
-      if (view.members.length < Constants.copies && !this.waitingSaid.has(shard)) this.env.log(1402, { shard, members: view.members });
+    const retiring = view.members.filter((id) => this.isRetiring(id));
+    if (view.members.length - retiring.length < this.copiesWanted) {
+      if (view.members.length < this.copiesWanted && !this.waitingSaid.has(shard)) this.env.log(1402, { shard, members: view.members });
       const [target] = this.candidates(shard, view.members);
       if (target) return act("fill", () => this.fillAndJoin(shard, target, retiring[0] ? `off retiring ${retiring[0]}` : "too few copies"));
     }
     if (retiring.length > 0 && view.members.length - retiring.length >= Constants.minCopiesForLots) {
       return act("retire from", () => this.reconfigure(shard, `retiring ${retiring.join(", ")}`, []));
     }
-    if (view.members.length > Constants.copies) return act("trim", () => this.reconfigure(shard, "one copy too many", []));
+    if (view.members.length > this.copiesWanted) return act("trim", () => this.reconfigure(shard, "one copy too many", []));
     this.rebalance(shard, view, act);
   }
   /** A machine that was added gets copies, one shard at a time. */
@@ -176,7 +187,7 @@
   }
   private *first(shard: number): Task<void> {
     const members: string[] = [];
-    while (members.length < Constants.copies) {
+    while (members.length < this.copiesWanted) {
       const [next] = this.candidates(shard, members);
       if (!next) break;
       members.push(next.id);
@@ -255,7 +266,7 @@
   /** Members and lead of the next view, out of those that stand at the sealed end. */
   private choose(view: View, level: string[], joiners: string[]): { members: string[]; lead: string } {
     // who may stay: not retiring and not leaving, unless too few others are intact
-    const wanted = (id: string): boolean => !this.group.state.retiring.includes(id) && !this.statuses.get(id)?.stopping;
+    const wanted = (id: string): boolean => !this.isRetiring(id) && !this.statuses.get(id)?.stopping;
     const staying = level.filter(wanted);
     let members = staying.length < Constants.minCopiesForLots ? level : staying;
     const clockOk = (id: string): boolean => this.statuses.get(id)?.vouches !== false;
@@ -263,7 +274,7 @@
     const byLoad = [...choices].sort((left, right) => +joiners.includes(left) - +joiners.includes(right) || this.leads(left) - this.leads(right));
     const lead = choices.find((id) => id === view.lead) ?? byLoad[0];
     const droppable = members.filter((id) => id !== lead && !joiners.includes(id)).sort((left, right) => this.load(right) - this.load(left));
-    const dropped = droppable.slice(0, Math.max(0, members.length - Constants.copies));
+    const dropped = droppable.slice(0, Math.max(0, members.length - this.copiesWanted));
     members = members.filter((id) => id !== lead && !dropped.includes(id));
     return { members: [lead, ...members], lead };
   }
@@ -277,12 +288,19 @@
     this.env.point(40, { shard, joiners: [target.id] });
     yield* this.reconfigure(shard, `${reason}: ${target.id} filled`, [target.id]);
   }
-  /** Shards that still have a copy on the store. @example views.remaining("store-3") */
-  remaining(store: string): number {
-    return this.load(store);
+  /** Whether every shard has all its copies on other stores, by views in force: a store that goes may be followed by a loss. @example views.emptied(move) */
+  emptied(move: { store: string; name?: string }): boolean {
+    const onIt = (id: string): boolean => id === move.store || (move.name !== undefined && this.node.membership.find(id)?.name === move.name);
+    const elsewhere = (view: View): number => view.members.filter((id) => !this.isRetiring(id)).length;
+    return Object.values(this.group.state.views).every((view) => !view.members.some(onIt) && elsewhere(view) >= this.copiesWanted);
+  }
+  /** Stores, up or lost for a moment, that would stay if this one went; a machine counts once. @example views.knownWithout(member) */
+  knownWithout(store: Member): number {
+    const staying = this.node.membership.all().filter((member) => member.program === "store" && member.state !== "left" && !this.isRetiring(member.id));
+    return new Set(staying.filter((member) => member.id !== store.id && member.address !== store.address).map((member) => member.address)).size;
   }
   /** Stores that would stay if this one went. @example views.staying("store-3") */
   staying(store: string): Member[] {
-    return this.node.membership.alive("store").filter((member) => member.id !== store && this.isUp(member.id) && !this.group.state.retiring.includes(member.id));
+    return this.node.membership.alive("store").filter((member) => member.id !== store && this.isUp(member.id) && !this.isRetiring(member.id));
   }
 }
--- a/src/core/events.ts
+++ b/src/core/events.ts
@@ -25,6 +25,7 @@
   1306: { level: "info", text: "change accepted", act: "nothing to do" },
   1307: { level: "warn", text: "control group has no majority", act: "bring control machines back; configuration can't change until then" },
   1308: { level: "warn", text: "control group recovered from one voter by an operator's word", act: "compare what the lost voters may have acknowledged after the index told; keep their machines from being used" },
+  1309: { level: "warn", text: "control group goes on with fewer voters than it should have", act: "start the missing control machines; it grows by itself" },
   1401: { level: "info", text: "view installed", act: "nothing to do" },
   1402: { level: "warn", text: "shard has too few copies", act: "bring store machines back or add one" },
   1403: { level: "error", text: "shard waits: no intact member of its last view", act: "bring back one of the named stores with its data folder" },
--- a/src/core/frame.ts
+++ b/src/core/frame.ts
@@ -5,6 +5,7 @@
   key: string; id: string; instance: string; address: string; pool: string; district: string; version: string;
   capacity: number; active: number; waiting: number; bornAt: number;
   warmAt?: number; // wall ms; until then it is cold
+  sequence?: number; // of the last announcement taken in
 };
 /** Everything a process acts on, immutable and swapped whole. */
 export type Frame = {
--- a/src/core/host.ts
+++ b/src/core/host.ts
@@ -6,7 +6,14 @@
 import { Frame, Replica } from "./frame";
 import { Node } from "./node";
 
-export type Announcement = Omit<Replica, "key" | "bornAt" | "instance"> & { instance?: string };
+export type Announcement = Omit<Replica, "key" | "bornAt" | "instance" | "warmAt"> & {
+  instance?: string;
+  leaving?: boolean; // it takes no new work from now on; the same as a goodbye, and it may be said again
+  warmLeftMs?: number; // how much longer it stays cold
+  sequence?: number; // rises with every call, so that a late one is known
+};
+/** Where the control lead answered last, by host. */
+const leads = new WeakMap<Host, string>();
 /** What the outside adapters need of the process they run in. */
 export interface Host {
   readonly env: Env;
@@ -17,6 +24,42 @@
   goodbye(id: string): Task<Result<unknown>>;
 }
 
+/** An instance that left or said goodbye stays gone; who says so again, or late, is acknowledged. */
+function* announceGone(node: Node, announcement: Announcement, key: string, known: Replica | undefined): Task<Result<unknown>> {
+  const late = announcement.sequence !== undefined && announcement.sequence <= (known?.sequence ?? Infinity);
+  if (announcement.leaving || late) return Fault.ok({ instance: announcement.instance, gone: true });
+  return Fault.fail("conflict", "announce", announcement.id, `instance ${key} has said goodbye`);
+}
+/** A replica's word, taken in here and told to the others; needs no control lead. */
+function* announce(node: Node, announcement: Announcement): Task<Result<unknown>> {
+  const { news, env } = node;
+  const { leaving, warmLeftMs, ...told } = announcement;
+  const known = news.current(`replica/${announcement.id}/`)[0];
+  let instance = announcement.instance ?? (known?.value as Replica | undefined)?.instance ?? "0";
+  let key = `replica/${announcement.id}/${instance}`;
+  if (news.isGone(key)) {
+    const gone = news.find(key)?.value as Replica | undefined;
+    if (announcement.instance !== undefined || leaving || news.versionAge(key) < Constants.goodbyeHoldMs) return yield* announceGone(node, announcement, key, gone);
+    instance = `i${Math.floor(env.wall())}`;
+    key = `replica/${announcement.id}/${instance}`;
+  }
+  const before = news.current(key)[0]?.value as Replica | undefined;
+  if (before?.sequence !== undefined && announcement.sequence !== undefined && announcement.sequence < before.sequence) return Fault.ok({ instance, late: true });
+  const warmAt = warmLeftMs === undefined ? {} : { warmAt: warmLeftMs > 0 ? env.wall() + warmLeftMs : 0 };
+  const value: Omit<Replica, "key"> = { ...told, instance, bornAt: before?.bornAt ?? env.wall(), ...warmAt };
+  if (leaving) {
+    env.log(1202, { replica: key });
+    yield* news.endKept([key], value);
+    return Fault.ok({ instance, gone: true });
+  }
+  if (!before) env.log(1201, { replica: key, pool: announcement.pool });
+  const colder = Math.abs((value.warmAt ?? 0) - (before?.warmAt ?? 0)) > Constants.warmJitterMs;
+  const unchanged = before && !colder && JSON.stringify({ ...before, warmAt: 0, sequence: 0 }) === JSON.stringify({ ...value, warmAt: 0, sequence: 0 });
+  if (unchanged && news.versionAge(key) < Constants.replicaRenewMs) return Fault.ok({ instance });
+  news.tell(key, value, Constants.replicaGrantMs, !before || colder);
+  return Fault.ok({ instance });
+}
+
 /**
  * A host on a member, and the asks that any host can make.
  *
@@ -28,28 +71,12 @@
   of(node: Node): Host {
     return {
       env: node.env, rpc: node.rpc, id: node.self.id, frame: () => node.frame(),
-      *announce(announcement) {
-        const { news } = node;
-        const known = news.current(`replica/${announcement.id}/`)[0];
-        let instance = announcement.instance ?? (known?.value as Replica | undefined)?.instance ?? "0";
-        let key = `replica/${announcement.id}/${instance}`;
-        if (news.isGone(key)) {
-          if (announcement.instance !== undefined || news.versionAge(key) < Constants.goodbyeHoldMs)
-            return Fault.fail("conflict", "announce", announcement.id, "this instance has said goodbye");
-          instance = `i${Math.floor(node.env.wall())}`;
-          key = `replica/${announcement.id}/${instance}`;
-        }
-        const before = news.current(key)[0]?.value as Replica | undefined;
-        const value = { ...announcement, instance, bornAt: before?.bornAt ?? node.env.wall() };
-        if (!before) node.env.log(1201, { replica: key, pool: announcement.pool });
-        if (before && JSON.stringify(before) === JSON.stringify(value) && news.versionAge(key) < Constants.replicaRenewMs) return Fault.ok({ instance });
-        news.tell(key, value, Constants.replicaGrantMs, !before);
-        return Fault.ok({ instance });
-      },
+      announce: (announcement) => announce(node, announcement),
       *goodbye(id) {
         const facts = node.news.current(`replica/${id}/`);
-        for (const key of facts.length > 0 ? facts.map((fact) => fact.key) : [`replica/${id}/0`]) node.news.end(key);
-        node.env.log(1202, { replica: id });
+        const keys = facts.length > 0 ? facts.map((fact) => fact.key) : [`replica/${id}/0`];
+        if (facts.length > 0) node.env.log(1202, { replica: id });
+        yield* node.news.endKept(keys);
         return Fault.ok(true);
       },
     };
@@ -59,7 +86,7 @@
   *askControl(host: Host, body: Record<string, unknown>, withinMs: number): Task<Result<any>> {
     const { env } = host;
     const until = env.mono() + withinMs;
-    let hint = "";
+    let hint = leads.get(host) ?? "";
     let maybeTaken = false;
     let last: Result<any> = Fault.fail("refused", "control", "control", "no control member is known");
     for (let round = 0; env.mono() < until; round += 1) {
@@ -68,7 +95,10 @@
       hint = "";
       if (address) {
         last = yield* host.rpc.ask(address, "control.op", body, Math.min(2200, until - env.mono()));
-        if (last.ok) return last;
+        if (last.ok) {
+          leads.set(host, address);
+          return last;
+        }
         switch (last.fault.tag) {
           case "notLead":
             hint = last.fault.detail;
--- a/src/core/node.ts
+++ b/src/core/node.ts
@@ -90,11 +90,13 @@
     return Fault.ok(node);
   }
 
-  /** A replica that was started again is its newest instance only. */
+  /** A replica that was started again is its newest instance only, and an address belongs to who took it last. */
   private static newest(replicas: Replica[]): Replica[] {
     const byId = new Map<string, Replica>();
     for (const replica of replicas) if ((byId.get(replica.id)?.bornAt ?? -1) < replica.bornAt) byId.set(replica.id, replica);
-    return [...byId.values()];
+    const byAddress = new Map<string, Replica>();
+    for (const replica of byId.values()) if ((byAddress.get(replica.address)?.bornAt ?? -1) < replica.bornAt) byAddress.set(replica.address, replica);
+    return [...byAddress.values()];
   }
   /** SIGTERM: unready, what is in flight (else a moment for the news of it), goodbye. @example yield* node.depart(); */
   *depart(finish: () => Task<void> = () => EnvTools.sleep(this.env, 300)): Task<void> {
--- a/src/membership/news.ts
+++ b/src/membership/news.ts
@@ -62,11 +62,26 @@
     if (urgent) Csp.offer(this.wake, true);
   }
   /** Ends a fact for good. @example news.end("replica/r1/x"); */
-  end(key: string): void {
+  end(key: string, value = this.facts.get(key)?.value ?? null): void {
     const known = this.facts.get(key);
-    this.keep({ key, owner: this.membership.self.id, version: Math.max(Math.floor(this.env.wall()), (known?.version ?? 0) + 1), value: known?.value ?? null, gone: true }, Constants.tombstoneMs);
+    this.keep({ key, owner: this.membership.self.id, version: Math.max(Math.floor(this.env.wall()), (known?.version ?? 0) + 1), value, gone: true }, Constants.tombstoneMs);
     Csp.offer(this.wake, true);
   }
+  /** Ends facts, and returns once another member knows it too, or soon: our word should outlive us. @example yield* news.endKept([key]); */
+  *endKept(keys: string[], value?: unknown): Task<void> {
+    for (const key of keys) this.end(key, value);
+    const facts = keys.map((key) => this.facts.get(key)).filter((held): held is Held => !!held).map(this.bare);
+    const heard = Csp.chan<true>(Constants.newsFanout);
+    const news = this;
+    const told = this.some(Constants.newsFanout);
+    if (told.length === 0) return;
+    for (const address of told)
+      Csp.go(this.env.scope, "push a goodbye", function* () {
+        const replied = yield* news.rpc.ask(address, "news.push", { facts, frameIndex: 0 }, Constants.goodbyeToldMs);
+        if (replied.ok) Csp.offer(heard, true);
+      });
+    yield* EnvTools.takeWithin(this.env, heard, Constants.goodbyeToldMs);
+  }
   /** Facts under a grant, by key prefix. @example news.current("replica/") */
   current(prefix: string): Fact[] {
     const now = this.env.mono();
@@ -74,6 +89,10 @@
       .filter((fact) => fact.key.startsWith(prefix) && !fact.gone && now - fact.heardAt < fact.grantMs)
       .sort((left, right) => (left.key < right.key ? -1 : 1));
   }
+  /** A fact as it stands, ended or not. @example news.find("replica/r1/x")?.value */
+  find(key: string): Fact | undefined {
+    return this.facts.get(key);
+  }
   /** @example news.isGone("replica/r1/x") */
   isGone(key: string): boolean {
     return this.facts.get(key)?.gone ?? false;
--- /dev/null
+++ b/test/controlFleet.ts
@@ -0,0 +1,116 @@
+import { Daemon, Running } from "../src/core/daemon";
+import { Settings } from "../src/core/settings";
+import { Shapes } from "../src/core/shapes";
+import { ControlNode } from "../src/control/controlNode";
+import { Csp } from "../src/csp/csp";
+import { EnvTools } from "../src/env/env";
+import { SimDisk } from "../src/sim/simDisk";
+import { SimProcess, SimWorld } from "../src/sim/simWorld";
+
+export type Answer = { status: number; body: any; headers: Record<string, string> };
+type Options = { controls?: number; stores?: number; founders?: number; losses?: number; shapes?: (settings: Settings) => Shapes; log?: (line: string) => void };
+const districts = ["north", "east", "south", "west"];
+
+/**
+ * Control members and stores alone, in virtual time, for what needs neither callers nor replicas.
+ *
+ * @example
+ * const fleet = new ControlFleet(7, { controls: 4, stores: 4 });
+ * await fleet.run(3000);
+ * await fleet.ask("PUT", "/v1/manifest", { bindings: {} }, { "if-match": "0" });
+ */
+export class ControlFleet {
+  readonly world: SimWorld;
+  readonly settings = new Map<string, Settings>();
+  readonly running = new Map<string, Running>();
+  readonly disks = new Map<string, SimDisk>();
+  readonly errors: string[] = [];
+  private readonly operator: SimProcess;
+  private nextPort = 50_000;
+
+  constructor(seed: number, private readonly options: Options = {}) {
+    this.world = new SimWorld(seed, options.log);
+    const controls = Array.from({ length: options.controls ?? 4 }, () => this.place());
+    const founders = controls.slice(0, options.founders ?? controls.length).map((each) => each.address);
+    const seeds = controls.slice(0, 3).map((each) => each.address);
+    const common = { cluster: "test", seeds, losses: options.losses ?? 1 };
+    controls.forEach((place, at) => {
+      const name = `control-${at + 1}`;
+      this.settings.set(name, { program: "control", ...common, ...place, name, district: districts[at % 4], data: `data/${name}`, founders: founders.includes(place.address) ? founders : [] });
+    });
+    for (let at = 0; at < (options.stores ?? 0); at += 1) {
+      const name = `store-${at + 1}`;
+      this.settings.set(name, { program: "store", ...common, ...this.place(), name, district: districts[at % 4], data: `data/${name}` });
+    }
+    this.operator = this.world.start("operator", new SimDisk(this.world));
+    for (const name of this.settings.keys()) this.start(name);
+  }
+  private place(): { address: string; http: string } {
+    return { address: `127.0.0.1:${(this.nextPort += 1)}`, http: `127.0.0.1:${(this.nextPort += 1)}` };
+  }
+  /** @example fleet.names("control") */
+  names = (program: string): string[] => [...this.settings].filter(([, settings]) => settings.program === program).map(([name]) => name);
+  /** @example await fleet.run(3000); */
+  run = (ms: number): Promise<void> => this.world.run(ms);
+  /** @example fleet.start("control-1"); */
+  start(name: string): void {
+    const settings = this.settings.get(name)!;
+    const disk = this.disks.get(name) ?? new SimDisk(this.world);
+    this.disks.set(name, disk);
+    const process = this.world.start(name, disk);
+    const fleet = this;
+    Csp.go(process.scope, "main", function* () {
+      const started = yield* Daemon.start(process.env, settings, fleet.options.shapes?.(settings));
+      if (started.ok) fleet.running.set(name, started.value);
+      else fleet.errors.push(`${name}: ${started.fault.detail}`);
+    });
+  }
+  /** @example fleet.kill("control-1", true); */
+  kill(name: string, powerLost = false): void {
+    this.errors.push(...(this.world.processes.get(name)?.errors ?? []));
+    this.world.kill(name, powerLost);
+    this.running.delete(name);
+  }
+  /** Started again, after a first start of all: it founds nothing. @example fleet.restart("control-1", { empty: true, moved: true }); */
+  restart(name: string, how: { empty?: boolean; moved?: boolean; seeds?: string[] } = {}): void {
+    const settings = this.settings.get(name)!;
+    if (how.empty) this.disks.get(name)?.wipe();
+    const founders = settings.program === "control" ? { founders: [] } : {};
+    this.settings.set(name, { ...settings, ...founders, ...(how.moved ? this.place() : {}), ...(how.seeds ? { seeds: how.seeds } : {}) });
+    this.start(name);
+  }
+  /** A machine like another, empty, at a new address. @example fleet.add("control-1", "control-5", "north"); */
+  add(like: string, name: string, district?: string): void {
+    const settings = this.settings.get(like)!;
+    const founders = settings.program === "control" ? { founders: [] } : {};
+    this.settings.set(name, { ...settings, ...founders, ...this.place(), name, data: `data/${name}`, ...(district ? { district } : {}) });
+    this.start(name);
+  }
+  /** @example fleet.control("control-1")?.group.holdsLead() */
+  control = (name: string): ControlNode | undefined => this.running.get(name) as unknown as ControlNode | undefined;
+  /** @example fleet.lead() // "control-2", or undefined */
+  lead = (): string | undefined => this.names("control").find((name) => this.control(name)?.group.holdsLead());
+  /** Virtual time until something holds, or undefined. @example await fleet.until(() => fleet.lead() !== undefined, 3000) */
+  async until(holds: () => boolean | Promise<boolean>, withinMs: number, stepMs = 20): Promise<number | undefined> {
+    for (const from = this.world.now; this.world.now - from <= withinMs; await this.run(stepMs)) if (await holds()) return this.world.now - from;
+    return undefined;
+  }
+  /** Asks one address as an operator or a replica would; status 0: no answer. @example await fleet.ask("GET", "/v1/manifest") */
+  async ask(method: string, path: string, body?: unknown, headers: Record<string, string> = {}, address?: string): Promise<Answer> {
+    const { env } = this.operator;
+    const to = address ?? this.settings.get(this.names("control").find((name) => this.running.has(name))!)!.http;
+    const text = body === undefined || typeof body === "string" ? (body as string | undefined) : JSON.stringify(body);
+    const answered = await this.world.finish(this.operator, function* () {
+      const replied = yield* env.http(to, { method, path, body: text, headers, timeoutMs: 8000 });
+      if (!replied.ok) return { status: 0, body: replied.fault, headers: {} };
+      const got = (yield* EnvTools.bodyOf(env, replied.value, 32_000_000, 8000)) ?? "";
+      return { status: replied.value.status, headers: replied.value.headers, body: got.startsWith("{") ? JSON.parse(got) : got };
+    }, 9000);
+    return answered ?? { status: 0, body: "no answer", headers: {} };
+  }
+  /** Ends all; what went wrong inside. @example expect(fleet.close()).toEqual([]); */
+  close(): string[] {
+    for (const name of [...this.world.processes.keys()]) this.kill(name);
+    return this.errors;
+  }
+}
