Lots of whole requests: taken in by a put on every copy, run without claims, listed, ended, counted over all nodes

Cause: a lot's items were JSON bodies for one path, each claimed by a put before it ran. Items that are whole requests and safe to repeat need neither: what runs is known to the lead alone, results that come close together share a put, and a new lead runs anew what has none. A lot given up on is closed as refused under its arrival, so that "busy" holds and the same id may come again. What waits on a binding is counted at one home, which asks every lead anew before it refuses. Ruled out: an entry of the ledger and a claim an item (three synced writes for each of some 50 items a second).

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -141,6 +141,24 @@
   orphanPeriodMs: 2500, // ms; leads look for claims that nobody runs
   lotTickMs: 40, // ms; the dispatcher looks for room
   lotCrowdHoldMs: 600, // ms; after a sign of crowding the window stays small
+  lotShare: 0.5, // share; of a pool's slots that items of lots may hold, over all stores
+  lotCrowdedShare: 0.25, // share; of that, while live work has to wait somewhere and no lot is nearly due
+  lotUrgentMs: 4000, // ms; a lot due so soon is not held back by a crowd: it is worth as much as what crowds
+  lotResultsMs: 30, // ms; results that come within it share one put
+  lotHeadMs: 2500, // ms; an item's replica that shows nothing by then is given up; below the time in which an ended lot must be still
+  lotAgainMs: 60, // ms; before an item that did not run is tried elsewhere
+  lotFailedMs: 250, // ms; the same after a reply that was a failure
+  lotBodiesKeepMs: 10_000, // ms; a closed lot's bodies are still given to whoever has not heard of its last results
+  lotGiveUpMarginMs: 1000, // ms; an item is given up so much later than it may be: clocks differ
+  lotListBytes: 700_000, // bytes; of results in one listing, so that it stays under 1 MB as JSON
+  lotHoldMs: 3000, // ms; a lot waits so long for its shard's lead to be found: past a takeover
+  lotRoundMs: 1500, // ms; one ask to take a lot in: past a put that waits for a member to be left out
+  lotReadMs: 2000, // ms; a listing is looked for so long at all members, beyond what its caller would wait
+  lotReadRoundMs: 400, // ms; the same at one member
+  lotRefuseMs: 900, // ms; to make sure that a lot given up on is never kept
+  quotaAskMs: 250, // ms; a lead that has not told its tally by then is counted as another copy knows it
+  quotaFreshMs: 60, // ms; tallies so young are not asked for again before a lot is refused
+  quotaGrantsKept: 512, // grants; remembered until their lots are in the tallies told
   reservedShare: 0.34, // share; of a pool's slots that lots never take
   lotItemsMax: 2000, // items; in one lot
   ledgerFlushMs: 250, // ms; decisions of lookups are put in batches
--- /dev/null
+++ b/src/ingress/lotIntake.ts
@@ -0,0 +1,124 @@
+import { Constants } from "../constants";
+import { Task } from "../csp/csp";
+import { Env, EnvTools } from "../env/env";
+import { DirectHttp } from "../adapters/directHttp";
+import { Chooser } from "../core/chooser";
+import { Fault, Result } from "../core/fault";
+import { Frame } from "../core/frame";
+import { Hash } from "../core/hash";
+import { Stamp } from "../core/stamp";
+import { Binding } from "../control/controlState";
+import { Cause, ItemRequest, LotOrder } from "../shard/shardState";
+import type { HandedIn, Listing } from "../store/lots";
+import { Putter } from "../store/putter";
+import { Rpc } from "../wire/rpc";
+
+/** What lots need of the process that takes them in. */
+export type IntakeHost = { readonly env: Env; readonly rpc: Rpc; readonly putter: Putter; frame(): Frame };
+/** An item as it is handed in: a whole request, its body in base64. */
+export type HandedItem = ItemRequest & { body: string };
+
+const lowered = (headers: Record<string, string>): Record<string, string> =>
+  Object.fromEntries(Object.entries(headers).map(([name, value]) => [name.toLowerCase(), String(value)]));
+/** What can't be told otherwise: it never ran and never will, come again. */
+const busy = (fault: Fault): Result<never> => Fault.busy("hand in", fault.member, fault.detail, Constants.retryAfterMs);
+
+/**
+ * Lots whose items are whole requests, as an ingress takes them in: handed in, listed, looked into, ended.
+ *
+ * @example
+ * const handed = yield* LotIntake.handIn(ingress, "lot-17", "audit", binding, items, 3000);
+ * const listing = yield* LotIntake.list(ingress, "lot-17", 0, 1000);
+ */
+export const LotIntake = {
+  /**
+   * Ok once the lot stands on every copy of its shard. "busy" promises that this arrival of it never will, with the step
+   * "quota" if it didn't fit; "unknown" promises nothing.
+   * @example yield* LotIntake.handIn(ingress, "lot-17", "audit", binding, items, 3000)
+   */
+  *handIn(host: IntakeHost, id: string, name: string, binding: Binding, items: HandedItem[], withinMs: number): Task<Result<HandedIn>> {
+    const { env, putter } = host;
+    const arrival = putter.stamp(env.wall());
+    const control = host.frame().control;
+    if (!Stamp.admits(arrival.time, env.wall(), control?.manifest.doc.clock ?? Stamp.defaults)) return Fault.busy("stamp", "ingress", "our stamps are ahead of our clock", Constants.retryAfterMs);
+    const { lot, cause } = LotIntake.order(host, id, name, binding, items);
+    const life = Stamp.text(arrival);
+    let rounds = 0;
+    const handed = yield* putter.askLead<HandedIn>(putter.shardOf(id), "lot.handIn", () => {
+      rounds += 1;
+      return { stamp: rounds === 1 ? arrival : putter.stamp(env.wall()), life, lot, cause };
+    }, withinMs, Constants.lotRoundMs);
+    if (handed.ok) return handed;
+    switch (handed.fault.tag) {
+      case "timeout":
+      case "refused":
+      case "notLead":
+      case "late":
+        return busy(handed.fault); // nothing of it can have arrived in time
+      case "busy":
+        // an earlier round of ours may still be on its way
+        return rounds === 1 ? handed : yield* LotIntake.refuse(host, id, handed.fault);
+      case "unknown":
+        return yield* LotIntake.refuse(host, id, handed.fault);
+      default:
+        return handed;
+    }
+  },
+  /** The lot as it is put, and what it was taken in by. @example LotIntake.order(host, "lot-17", "audit", binding, items).lot */
+  order(host: IntakeHost, id: string, name: string, binding: Binding, items: HandedItem[]): { lot: LotOrder; cause: Cause } {
+    const { control } = host.frame();
+    const policies = control?.policies;
+    const line = Chooser.line({ binding: name, kind: binding.kind, caller: "" }, policies?.doc ?? [], (each) => each.order !== undefined);
+    const { origin: _origin, ...kept } = binding;
+    const requests = items.map(({ id: item, target, headers, tokens }): ItemRequest => ({ id: item, target, headers: DirectHttp.endToEnd(lowered(headers)), tokens }));
+    const bodies = items.map((item) => item.body);
+    const cause: Cause = { manifest: control?.manifest.version, ...(line ? { policy: `line ${policies!.doc.indexOf(line) + 1} of version ${policies!.version}` } : {}) };
+    return {
+      lot: {
+        id, binding: name, bodyHash: Hash.text(JSON.stringify([name, requests, bodies])), bodies, requests, safe: true,
+        order: line?.order ?? binding.order ?? 100, kept, since: control?.manifest.version ?? 0,
+      },
+      cause,
+    };
+  },
+  /** Its fate is not known: it is closed as refused at its shard, or found to be kept; else nothing can be said. */
+  *refuse(host: IntakeHost, id: string, fault: Fault): Task<Result<HandedIn>> {
+    const { env, putter } = host;
+    const refused = yield* putter.askLead<{ refused: boolean }>(putter.shardOf(id), "lot.refuse", () => ({ id, stamp: putter.stamp(env.wall()) }), Constants.lotRefuseMs);
+    if (!refused.ok) return Fault.fail("unknown", "hand in", fault.member, fault.detail);
+    if (!refused.value.refused) return Fault.ok({ tag: "exists", same: true, state: "" });
+    return fault.tag === "busy" ? { ok: false, fault } : busy(fault);
+  },
+  /** Results from a position on, from any member of the lot's shard. "notFound" is certain, all else is "busy". @example yield* LotIntake.list(ingress, "lot-17", 0, 1000) */
+  list: (host: IntakeHost, id: string, from: number, waitMs: number): Task<Result<Listing>> =>
+    LotIntake.askMembers<Listing>(host, id, "lot.list", { from, waitMs }, waitMs),
+  /** The body, in base64, of an item that is not listed yet. @example yield* LotIntake.itemBody(ingress, "lot-17", "i1") */
+  itemBody: (host: IntakeHost, id: string, item: string): Task<Result<{ body: string }>> => LotIntake.askMembers<{ body: string }>(host, id, "lot.itemBody", { item }, 0),
+  /** Ends a lot, as often as it is asked. @example yield* LotIntake.end(ingress, "lot-17", "caller") */
+  *end(host: IntakeHost, id: string, by: string): Task<Result<{ ended: true }>> {
+    const { env, putter } = host;
+    const ended = yield* putter.askLead<{ ended: true }>(putter.shardOf(id), "lot.end", () => ({ id, stamp: putter.stamp(env.wall()), by }), Constants.lotHoldMs);
+    if (ended.ok || ended.fault.tag === "notFound" || ended.fault.tag === "gone" || ended.fault.tag === "unknown") return ended;
+    return Fault.busy("end lot", ended.fault.member, ended.fault.detail, Constants.retryAfterMs);
+  },
+  *askMembers<T>(host: IntakeHost, id: string, verb: string, body: Record<string, unknown>, waitMs: number): Task<Result<T>> {
+    const { env, putter, rpc } = host;
+    const shard = putter.shardOf(id);
+    const until = env.mono() + waitMs + Constants.lotReadMs;
+    let last: Result<T> = Fault.fail("timeout", verb, `shard ${shard}`, "no view is known");
+    for (;;) {
+      const frame = host.frame();
+      const view = frame.control?.views[shard];
+      for (const member of view ? [view.lead, ...view.members.filter((each) => each !== view.lead)] : []) {
+        const address = frame.members.find((each) => each.id === member)?.address;
+        const left = until - env.mono();
+        if (!address || left <= 0) continue;
+        last = yield* rpc.ask<T>(address, verb, { ...body, shard, id }, Math.min(left, waitMs + Constants.lotReadRoundMs));
+        if (last.ok || last.fault.tag === "notFound" || last.fault.tag === "gone") return last;
+      }
+      if (env.mono() + 100 >= until) break;
+      yield* EnvTools.sleep(env, 100);
+    }
+    return last.ok ? last : Fault.busy(verb, last.fault.member, last.fault.detail, Constants.retryAfterMs);
+  },
+};
--- a/src/shard/shardState.ts
+++ b/src/shard/shardState.ts
@@ -16,16 +16,22 @@
   life: string; // the arrival it belongs to; a key may come again after it was refused
   closedAt: Stamp | null;
 };
-export type ItemState = "waiting" | "claimed" | "done" | "failed" | "unknown" | "ended";
+export type ItemState = "waiting" | "claimed" | "done" | "failed" | "unknown" | "ended" | "abandoned";
 export type Item = { state: ItemState; round: number; replica: string; owner: string; stamp: Stamp | null; result: string };
+/** An item that is a whole request, passed to a replica as it is; its body stands among the lot's bodies, in base64. */
+export type ItemRequest = { id: string; target: string; headers: Record<string, string>; tokens: number };
+export type ItemOutcome = { item: number; state: "done" | "abandoned"; result: string };
 export type Lot = {
   id: string; binding: string; bodyHash: string; bodies: string[]; safe: boolean; stamp: Stamp; order: number;
   kept: Binding; // as it was when the lot was accepted
   closedAt: Stamp | null;
   items: Item[]; open: number; ended: boolean; endedBy: string; positions: number[]; version: number;
+  requests?: ItemRequest[]; // items that are whole requests: safe to repeat, run without claims
+  since?: number; // manifest version that such a lot was accepted under
+  tokensWaiting?: number; // of its items that have no result yet
 };
 /** A lot as it is handed in. */
-export type LotOrder = Omit<Lot, "items" | "open" | "ended" | "endedBy" | "positions" | "stamp" | "version" | "closedAt">;
+export type LotOrder = Omit<Lot, "items" | "open" | "ended" | "endedBy" | "positions" | "stamp" | "version" | "closedAt" | "tokensWaiting">;
 export type LedgerEntry = { stamp: Stamp; n: number; subject: string; decision: string; cause: Cause };
 export type Op =
   | { op: "open"; work: Omit<Work, "state" | "round" | "replica" | "owner" | "pieces" | "outcome" | "stamp" | "version" | "closedAt"> }
@@ -33,7 +39,9 @@
   | { op: "release"; id: string; round: number; why: string }
   | { op: "pieces"; id: string; round: number; first: number; data: string[] }
   | { op: "close"; id: string; round: number; state: "done" | "failed" | "unknown" | "refused"; outcome: string }
-  | { op: "lot"; lot: LotOrder }
+  | { op: "lot"; lot: LotOrder; life?: string } // life: the arrival it belongs to; an id may come again after it was refused
+  | { op: "lotRefuse"; lot: string } // no arrival up to this put is ever kept
+  | { op: "itemResults"; lot: string; results: ItemOutcome[] } // of items run without a claim; the first result of each counts
   | { op: "itemClaim"; lot: string; item: number; round: number; replica: string; owner: string }
   | { op: "itemRelease"; lot: string; item: number; round: number; why: string }
   | { op: "itemResult"; lot: string; item: number; round: number; state: "done" | "failed" | "unknown"; result: string }
@@ -53,6 +61,8 @@
   refused: string[]; // kept only as long as a late open of theirs may still come
   lots: Map<string, Lot>;
   lotsClosed: string[];
+  lotsRefused: Map<string, Stamp>; // by id, when; kept as long as a late put of theirs may still come
+  bodiesKept: string[]; // closed lots whose items' bodies are still asked for, oldest first
   ledger: LedgerEntry[]; // the newest part of the time index: only what lies behind the frontier, in stamp order
   waiting: Waiting[]; // logged, but not yet behind the frontier
   frontier: number;
@@ -65,7 +75,9 @@
   sealed: SealedIndex;
 };
 /** The same as plain JSON, without the index of what was sealed. */
-export type FrozenShard = Omit<ShardData, "works" | "lots" | "puts" | "sealed"> & { works: Work[]; lots: Lot[]; puts: [string, { until: number; outcome: PutOutcome }][] };
+export type FrozenShard = Omit<ShardData, "works" | "lots" | "lotsRefused" | "puts" | "sealed"> & {
+  works: Work[]; lots: Lot[]; lotsRefused: [string, Stamp][]; puts: [string, { until: number; outcome: PutOutcome }][];
+};
 const nothingSealed: SealedIndex = { find: () => undefined, sameBody: () => false, take: () => undefined };
 const none = (): SegmentCounts => ({ works: 0, lots: 0, ledger: 0 });
 const closedStates: WorkState[] = ["done", "failed", "unknown", "refused"];
@@ -81,17 +93,20 @@
  */
 export const ShardState = {
   empty: (sealed: SealedIndex = nothingSealed): ShardData => ({
-    works: new Map(), worksClosed: [], refused: [], lots: new Map(), lotsClosed: [], ledger: [], waiting: [], frontier: 0, clock: 0,
+    works: new Map(), worksClosed: [], refused: [], lots: new Map(), lotsClosed: [], lotsRefused: new Map(), bodiesKept: [], ledger: [], waiting: [], frontier: 0, clock: 0,
     puts: new Map(), told: {}, sealing: [], segments: none(), trimmed: none(), sealed,
   }),
   /** As plain JSON. @example JSON.stringify(ShardState.freeze(data)) */
   freeze({ sealed: _sealed, ...data }: ShardData): FrozenShard {
-    return { ...data, works: [...data.works.values()], lots: [...data.lots.values()], puts: [...data.puts] };
+    return { ...data, works: [...data.works.values()], lots: [...data.lots.values()], lotsRefused: [...data.lotsRefused], puts: [...data.puts] };
   },
   /** @example ShardState.thaw(JSON.parse(text), segments) */
   thaw(frozen: FrozenShard, sealed: SealedIndex): ShardData {
     const byId = <T extends { id: string }>(objects: T[]): Map<string, T> => new Map(objects.map((object) => [object.id, object]));
-    return { ...frozen, works: byId(frozen.works), lots: byId(frozen.lots), puts: new Map(frozen.puts), sealed };
+    return {
+      ...frozen, works: byId(frozen.works), lots: byId(frozen.lots), lotsRefused: new Map(frozen.lotsRefused ?? []),
+      bodiesKept: frozen.bodiesKept ?? [], puts: new Map(frozen.puts), sealed,
+    };
   },
 
   /** Applies one put; a repeat of its id changes nothing and gets the first outcome. @example ShardState.apply(data, put).tag */
@@ -129,6 +144,14 @@
       if (until >= clock) break;
       data.puts.delete(id);
     }
+    for (const [id, { time }] of data.lotsRefused) {
+      if (time + Constants.refusalKeepMs >= clock) break;
+      data.lotsRefused.delete(id);
+    }
+    while (data.bodiesKept.length > 0 && (data.lots.get(data.bodiesKept[0])?.closedAt?.time ?? 0) + Constants.lotBodiesKeepMs < clock) {
+      const lot = data.lots.get(data.bodiesKept.shift()!);
+      if (lot) lot.bodies = [];
+    }
     while (data.refused.length > 0 && (data.works.get(data.refused[0])?.closedAt?.time ?? 0) + Constants.refusalKeepMs < clock) {
       const id = data.refused.shift()!;
       if (data.works.get(id)?.state === "refused") data.works.delete(id);
@@ -152,6 +175,8 @@
     // a lot's results have their positions for good once the log's own clock has passed its last one
     while (data.lotsClosed.length >= lots * 2 && data.lotsClosed.slice(0, lots).every((id) => data.lots.get(id)!.closedAt!.time <= data.clock)) {
       const ids = data.lotsClosed.splice(0, lots);
+      for (const id of ids) data.lots.get(id)!.bodies = []; // nobody asks for the bodies of what was listed so long ago
+      data.bodiesKept = data.bodiesKept.filter((id) => !ids.includes(id));
       take("lots", ids.map((id) => data.lots.get(id)!));
       for (const id of ids) data.lots.delete(id);
     }
@@ -302,11 +327,36 @@
       if (kept) return { tag: "exists", same: data.sealed.sameBody(kept, op.lot.bodyHash), state: kept.trimmed ? "trimmed" : kept.state };
       const known = data.lots.get(op.lot.id);
       if (known) return { tag: "exists", same: known.bodyHash === op.lot.bodyHash, state: known.ended ? "ended" : known.open === 0 ? "finished" : "open" };
+      const refusedAt = data.lotsRefused.get(op.lot.id);
+      if (refusedAt && op.life !== undefined && Stamp.compare(Stamp.parse(op.life)!, refusedAt) <= 0) return { tag: "no", why: "this arrival of the lot was refused" };
+      data.lotsRefused.delete(op.lot.id);
+      const tokensWaiting = op.lot.requests?.reduce((sum, request) => sum + request.tokens, 0);
       const items = op.lot.bodies.map((): Item => ({ state: "waiting", round: 0, replica: "", owner: "", stamp: null, result: "" }));
-      data.lots.set(op.lot.id, { ...op.lot, stamp: put.stamp, items, open: items.length, ended: false, endedBy: "", positions: [], version: 0, closedAt: null });
+      data.lots.set(op.lot.id, { ...op.lot, stamp: put.stamp, items, open: items.length, ended: false, endedBy: "", positions: [], version: 0, closedAt: null, ...(tokensWaiting === undefined ? {} : { tokensWaiting }) });
       note(`lot ${op.lot.id}`, `accepted with ${items.length} items for ${op.lot.binding}`);
       return { tag: "done" };
     }
+    case "lotRefuse": {
+      const kept = data.sealed.find("lots", op.lot);
+      const known = data.lots.get(op.lot);
+      if (kept || known) return { tag: "exists", same: true, state: known?.ended ? "ended" : "open" };
+      data.lotsRefused.delete(op.lot); // the newest last
+      data.lotsRefused.set(op.lot, put.stamp);
+      note(`lot ${op.lot}`, "refused: given up before it was kept");
+      return { tag: "done" };
+    }
+    case "itemResults": {
+      const lot = data.lots.get(op.lot);
+      const fresh = op.results.filter(({ item }) => lot?.requests && lot.items[item]?.state === "waiting");
+      for (const { item, state, result } of fresh) {
+        Object.assign(lot!.items[item], { state, stamp: put.stamp, result });
+        waiting.results.push({ lot: op.lot, item });
+        closeItem(data, lot!, put.stamp, item);
+      }
+      const told = (state: ItemOutcome["state"]): string => fresh.filter((outcome) => outcome.state === state).map(({ item }) => item).join(" ");
+      for (const state of ["done", "abandoned"] as const) if (told(state)) note(`lot ${op.lot}`, `items ${state}: ${told(state)}`);
+      return { tag: "done" }; // what has a result already keeps it
+    }
     case "itemClaim": {
       const lot = data.lots.get(op.lot);
       const item = lot?.items[op.item];
@@ -322,7 +372,7 @@
       const item = lot?.items[op.item];
       if (!lot || !item || item.state !== "claimed" || item.round !== op.round) return { tag: "no", why: "not claimed in this round" };
       item.state = lot.ended ? "ended" : "waiting";
-      if (lot.ended) closeItem(data, lot, put.stamp);
+      if (lot.ended) closeItem(data, lot, put.stamp, op.item);
       note(`item ${op.lot}/${op.item}`, `released from replica ${item.replica}: ${op.why}`);
       return { tag: "done" };
     }
@@ -333,7 +383,7 @@
       Object.assign(item, { state: op.state, stamp: put.stamp, result: op.result });
       lot.bodies[op.item] = "";
       waiting.results.push({ lot: op.lot, item: op.item });
-      closeItem(data, lot, put.stamp);
+      closeItem(data, lot, put.stamp, op.item);
       note(`item ${op.lot}/${op.item}`, `result marked ${op.state}`);
       return { tag: "done" };
     }
@@ -343,11 +393,11 @@
       if (lot.ended) return { tag: "exists", same: true, state: "ended" };
       lot.ended = true;
       lot.endedBy = op.by;
-      for (const item of lot.items)
-        if (item.state === "waiting") {
-          item.state = "ended";
-          closeItem(data, lot, put.stamp);
-        }
+      lot.items.forEach((item, at) => {
+        if (item.state !== "waiting") return;
+        item.state = "ended";
+        closeItem(data, lot, put.stamp, at);
+      });
       note(`lot ${op.lot}`, `ended by ${op.by}`);
       return { tag: "done" };
     }
@@ -367,10 +417,12 @@
     }
   }
 }
-function closeItem(data: ShardData, lot: Lot, at: Stamp): void {
+function closeItem(data: ShardData, lot: Lot, at: Stamp, item: number): void {
   lot.open -= 1;
+  if (lot.requests) lot.tokensWaiting! -= lot.requests[item].tokens;
   if (lot.open > 0) return;
   // the newest of all, so that every result has its position once the frontier has passed it
   lot.closedAt = lot.items.reduce((newest, item) => (item.stamp && Stamp.compare(item.stamp, newest) > 0 ? item.stamp : newest), at);
   data.lotsClosed.push(lot.id);
+  if (lot.requests) data.bodiesKept.push(lot.id);
 }
--- /dev/null
+++ b/src/store/lots.ts
@@ -0,0 +1,172 @@
+import { Constants } from "../constants";
+import { Chan, Csp, Task } from "../csp/csp";
+import { Env } from "../env/env";
+import { Fault, Result } from "../core/fault";
+import { Node } from "../core/node";
+import { Stamp } from "../core/stamp";
+import { ShardCopy } from "../shard/shardCopy";
+import { Cause, Lot, LotOrder } from "../shard/shardState";
+import { ItemRuns } from "./itemRuns";
+import { Quota } from "./quota";
+
+export type HandIn = { stamp: Stamp; life: string; lot: LotOrder; cause: Cause };
+export type HandedIn = { tag: "accepted" } | { tag: "exists"; same: boolean; state: string };
+export type Listed = { id: string; state: "complete" | "abandoned"; text: string };
+export type Listing = { total: number; results: Listed[]; ended: boolean };
+
+/**
+ * Lots whose items are whole requests: taken in when they stand on every copy, listed behind the frontier, ended.
+ * Their items are run by ItemRuns.
+ *
+ * @example
+ * const lots = new Lots(env, node, quota, runs, copies);
+ * const accepted = yield* lots.handIn(copy, { stamp, life, lot, cause });
+ */
+export class Lots {
+  private takingIn = new Map<string, Chan<true>>();
+  readonly counts = { accepted: 0, again: 0, refused: 0, listed: 0 };
+  constructor(
+    private readonly env: Env,
+    private readonly node: Node,
+    private readonly quota: Quota,
+    private readonly runs: ItemRuns,
+  ) {}
+  private notLead = (copy: ShardCopy, step: string): Result<never> => Fault.fail("notLead", step, this.node.self.id, copy.view?.lead ?? "");
+  private known(copy: ShardCopy, id: string, bodyHash: string): HandedIn | undefined {
+    const sealed = copy.segments.find("lots", id);
+    if (sealed) return { tag: "exists", same: copy.segments.sameBody(sealed, bodyHash), state: sealed.trimmed ? "trimmed" : "" };
+    const lot = copy.data.lots.get(id);
+    return lot && { tag: "exists", same: lot.bodyHash === bodyHash, state: "" };
+  }
+
+  /** Only "accepted" and "exists" mean that the lot is kept; after "busy" it will not be by this arrival. @example yield* lots.handIn(copy, body) */
+  *handIn(copy: ShardCopy, body: HandIn): Task<Result<HandedIn>> {
+    const { id } = body.lot;
+    for (let busy = this.takingIn.get(id); busy; busy = this.takingIn.get(id)) yield* Csp.take(busy);
+    if (!copy.holdsGrant() || this.node.stopping || !this.node.vouches()) return this.notLead(copy, "hand in");
+    const known = this.known(copy, id, body.lot.bodyHash);
+    if (known) {
+      this.counts.again += 1;
+      this.runs.opened(copy, id);
+      return Fault.ok(known);
+    }
+    if (!Stamp.admits(body.stamp.time, this.env.wall(), this.node.bounds())) return Fault.fail("late", "hand in", this.node.self.id, "stamp outside the bounds");
+    if (copy.view!.members.length < Constants.minCopiesForLots) return this.busy("too few copies");
+    const done = Csp.chan<true>(1);
+    this.takingIn.set(id, done);
+    try {
+      const tokens = body.lot.requests!.reduce((sum, request) => sum + request.tokens, 0);
+      const granted = yield* this.quota.take(copy, body.lot.binding, id, tokens);
+      if (!granted.ok) return this.notKept(granted.fault);
+      return yield* this.keep(copy, body);
+    } finally {
+      this.quota.leave(copy.shard, id);
+      this.takingIn.delete(id);
+      done.close();
+    }
+  }
+  /** Why a place was not granted; nothing was put, so whatever kept the count from us is no matter of fate. */
+  private notKept(fault: Fault): Result<never> {
+    if (fault.tag !== "busy") return this.busy(`what waits could not be counted: ${fault.detail}`);
+    this.counts.refused += 1;
+    return { ok: false, fault };
+  }
+  private busy(why: string): Result<never> {
+    this.counts.refused += 1;
+    return Fault.busy("hand in", this.node.self.id, why, Constants.retryAfterMs);
+  }
+  private *keep(copy: ShardCopy, body: HandIn): Task<Result<HandedIn>> {
+    const { lot, life } = body;
+    const put = yield* copy.put({
+      putId: `lot-${lot.id}-${life}`, stamp: body.stamp, ops: [{ op: "lot", lot, life }], cause: { ...body.cause, view: copy.view?.epoch },
+    }, 1100);
+    if (!put.ok) return put;
+    switch (put.value.tag) {
+      case "done":
+        this.counts.accepted += 1;
+        this.runs.opened(copy, lot.id);
+        return Fault.ok({ tag: "accepted" });
+      case "exists":
+        return Fault.ok(put.value);
+      case "no":
+        return this.busy(put.value.why); // this arrival was refused before it came here
+      default: {
+        const never: never = put.value;
+        return never;
+      }
+    }
+  }
+  /** Makes sure that no arrival of a lot up to now is ever kept; false if one is. @example yield* lots.refuse(copy, { id, stamp }) */
+  *refuse(copy: ShardCopy, body: { id: string; stamp: Stamp }): Task<Result<{ refused: boolean }>> {
+    if (!copy.holdsGrant()) return this.notLead(copy, "refuse lot");
+    const putId = `refuse-lot-${body.id}-${Stamp.text(body.stamp)}`;
+    const put = yield* copy.put({ putId, stamp: body.stamp, ops: [{ op: "lotRefuse", lot: body.id }], cause: {} }, 1100);
+    if (!put.ok) return put;
+    this.runs.opened(copy, body.id); // kept after all, if it is there
+    return Fault.ok({ refused: put.value.tag === "done" });
+  }
+
+  /**
+   * Temporal read at any member of the view: results from a position on, behind the frontier. "notFound" is the word of
+   * a lead that holds its grant and takes no such lot in just now.
+   * @example yield* lots.list(copy, { id: "lot-17", from: 12, waitMs: 1000 })
+   */
+  *list(copy: ShardCopy, body: { id: string; from: number; waitMs: number }): Task<Result<Listing>> {
+    const until = this.env.mono() + Math.min(body.waitMs, Constants.readWaitMs);
+    for (;;) {
+      if (!this.isMember(copy)) return Fault.fail("notLead", "list", this.node.self.id, "no member of the view");
+      copy.frontier();
+      const held = yield* copy.lot(body.id);
+      if (!held.ok) return held;
+      const lot = held.value;
+      const over = this.env.mono() >= until;
+      if (lot) {
+        const settled = lot.open === 0 && lot.positions.length === lot.items.filter((item) => item.stamp).length;
+        if (lot.positions.length > body.from || settled || over) return Fault.ok(this.page(lot, body.from));
+      } else if (copy.holdsGrant() && !this.takingIn.has(body.id)) return Fault.fail("notFound", "list", this.node.self.id, `no lot ${body.id}`);
+      else if (over) return Fault.fail("notLead", "list", this.node.self.id, "not known here yet");
+      yield* copy.changedWithin(until - this.env.mono());
+    }
+  }
+  private isMember(copy: ShardCopy): boolean {
+    const view = this.node.news.frame?.views[copy.shard] ?? copy.view;
+    return copy.exists && !!view?.members.includes(this.node.self.id);
+  }
+  private page(lot: Lot, from: number): Listing {
+    const results: Listed[] = [];
+    let bytes = 0;
+    for (const at of lot.positions.slice(from)) {
+      const item = lot.items[at];
+      bytes += item.result.length;
+      if (results.length > 0 && bytes > Constants.lotListBytes) break;
+      results.push({ id: lot.requests?.[at].id ?? String(at), state: item.state === "done" ? "complete" : "abandoned", text: item.result });
+    }
+    this.counts.listed += results.length;
+    return { total: lot.items.length, results, ended: lot.ended };
+  }
+  /** The body, in base64, of an item that is not listed yet, of a lot not ended. @example yield* lots.itemBody(copy, { id: "lot-17", item: "i1" }) */
+  *itemBody(copy: ShardCopy, body: { id: string; item: string }): Task<Result<{ body: string }>> {
+    if (!this.isMember(copy)) return Fault.fail("notLead", "item body", this.node.self.id, "no member of the view");
+    const held = yield* copy.lot(body.id);
+    if (!held.ok) return held;
+    const lot = held.value;
+    const unsure = !copy.holdsGrant() || this.takingIn.has(body.id);
+    if (!lot) return Fault.fail(unsure ? "notLead" : "notFound", "item body", this.node.self.id, `no lot ${body.id}`);
+    const at = lot.requests?.findIndex(({ id }) => id === body.item) ?? -1;
+    const found = lot.ended ? undefined : lot.bodies[at];
+    return found === undefined ? Fault.fail("notFound", "item body", this.node.self.id, `no body of ${body.item} in lot ${body.id}`) : Fault.ok({ body: found });
+  }
+  /** Nothing of the lot starts from now on, and what runs is broken off. @example yield* lots.end(copy, { id: "lot-17", stamp, by: "caller" }) */
+  *end(copy: ShardCopy, body: { id: string; stamp: Stamp; by: string }): Task<Result<{ ended: true }>> {
+    if (!copy.holdsGrant()) return this.notLead(copy, "end lot");
+    const lot = copy.data.lots.get(body.id);
+    const sealed = copy.segments.find("lots", body.id);
+    if (!lot && !sealed && this.takingIn.has(body.id)) return Fault.fail("notLead", "end lot", this.node.self.id, "it is being taken in");
+    if (!lot && !sealed) return Fault.fail("notFound", "end lot", this.node.self.id, `no lot ${body.id}`);
+    if (sealed || lot?.ended) return Fault.ok({ ended: true });
+    const put = yield* copy.put({ putId: `end-${body.id}-${Stamp.text(body.stamp)}`, stamp: body.stamp, ops: [{ op: "lotEnd", lot: body.id, by: body.by }], cause: {} }, 1100);
+    if (!put.ok) return put;
+    this.runs.ended(body.id);
+    return Fault.ok({ ended: true });
+  }
+}
--- a/src/store/storeNode.ts
+++ b/src/store/storeNode.ts
@@ -11,7 +11,10 @@
 import { OperatorHttp } from "../adapters/operatorHttp";
 import { ShardCopy } from "../shard/shardCopy";
 import { LedgerEntry, ShardState } from "../shard/shardState";
+import { ItemRuns } from "./itemRuns";
+import { Lots } from "./lots";
 import { Putter } from "./putter";
+import { Quota } from "./quota";
 import { Work } from "./work";
 
 /* eslint-disable @typescript-eslint/no-explicit-any */
@@ -26,6 +29,9 @@
   readonly putter: Putter;
   readonly chooser: Chooser;
   readonly work: Work;
+  readonly lots: Lots;
+  private readonly itemRuns: ItemRuns;
+  private readonly quota: Quota;
   private readonly puts = new Spread(); // in the lead's buffer until on every copy: Δ
   private readonly relays = new Spread(); // from the stamp to the first store: ε with skew
   private constructor(
@@ -37,6 +43,9 @@
     this.putter = new Putter(env, node.rpc, node.self.id, () => node.frame());
     this.chooser = new Chooser(env);
     this.work = new Work(env, node, this.putter, this.chooser, this.copies);
+    this.quota = new Quota(env, node, this.putter, this.copies);
+    this.itemRuns = new ItemRuns(env, node, this.putter, this.chooser, this.copies, names);
+    this.lots = new Lots(env, node, this.quota, this.itemRuns);
   }
 
   /** @example yield* StoreNode.start(env, settings) */
@@ -62,6 +71,7 @@
     EnvTools.keep(env, env.scope, "disk watch", () => store.watchDisk());
     EnvTools.keep(env, env.scope, "repair", () => store.repairLoop());
     store.work.start();
+    store.itemRuns.start();
     const http = yield* OperatorHttp.serve(env, settings.http, store.node, {
       ready: () => (store.node.stopping ? "stopping" : !store.node.vouches() ? "clock or frame not vouched for" : undefined),
       metrics: () => store.metrics(),
@@ -79,8 +89,14 @@
         bounds: () => this.node.bounds(),
         vouches: () => this.node.vouches(),
         putTook: (ms) => this.puts.add(ms),
-        started: (started) => this.work.leadStarted(started),
-        stopped: (stopped) => this.work.leadStopped(stopped),
+        started: (started) => {
+          this.work.leadStarted(started);
+          this.itemRuns.leadStarted(started);
+        },
+        stopped: (stopped) => {
+          this.work.leadStopped(stopped);
+          this.itemRuns.leadStopped(stopped);
+        },
       });
       this.copies.set(shard, copy);
     }
@@ -169,10 +185,21 @@
     });
     on("work.read", (copy, body) => this.work.read(copy, body));
     on("work.refuse", (copy, body) => this.work.refuse(copy, body));
+    on("lot.handIn", (copy, body) => {
+      this.relays.add(this.env.wall() - body.stamp.time);
+      return this.lots.handIn(copy, body);
+    });
+    on("lot.refuse", (copy, body) => this.lots.refuse(copy, body));
+    on("lot.list", (copy, body) => this.lots.list(copy, body));
+    on("lot.itemBody", (copy, body) => this.lots.itemBody(copy, body));
+    on("quota.reserve", (copy, body) => this.quota.reserve(copy, body));
+    rpc.handle("quota.tallies", function* (body) {
+      return Fault.ok({ tallies: store.quota.tallies(body) });
+    });
     on("lot.accept", (copy, body) => this.work.acceptLot(copy, body));
     on("lot.status", (copy, body) => this.work.lotStatus(copy, body));
     on("lot.results", (copy, body) => this.lotResults(copy, body));
-    on("lot.end", (copy, body) => this.work.endLot(copy, body));
+    on("lot.end", (copy, body) => this.lots.end(copy, body));
     on("ledger.read", (copy, body) => this.ledgerRead(copy, body));
     on("ledger.about", (copy, body) => this.ledgerAbout(copy, body));
     on("temporal.get", (copy, body) => this.temporalGet(copy, body));
@@ -284,7 +311,7 @@
       overrun_puts: sum((copy) => copy.counts.overruns), mended_objects: sum((copy) => copy.counts.mended),
       ...this.puts.metrics("put_ms"), ...this.relays.metrics("relay_ms"), skew_ms: +(this.node.membership.skew()?.offset ?? 0).toFixed(2),
       disk_syncs: sum((copy) => copy.syncs()), restamped_puts: this.putter.restamped,
-      affinity_hits: this.chooser.hits, affinity_misses: this.chooser.misses, ...this.work.metrics(),
+      affinity_hits: this.chooser.hits, affinity_misses: this.chooser.misses, ...this.work.metrics(), ...this.itemRuns.metrics(),
     };
   }
   /** SIGTERM: leads are handed on, work in flight ends or is taken over, goodbye. @example yield* store.stop(); */
--- a/src/store/work.ts
+++ b/src/store/work.ts
@@ -327,18 +327,9 @@
     for (const item of lot.items) states[item.state] = (states[item.state] ?? 0) + 1;
     return Fault.ok({ id: lot.id, binding: lot.binding, items: lot.items.length, states, ended: lot.ended, open: lot.open, accepted: Stamp.text(lot.stamp), bodyHash: lot.bodyHash });
   }
-  /** @example yield* work.endLot(copy, { id: "L1", stamp, by: "caller" }) */
-  *endLot(copy: ShardCopy, body: { id: string; stamp: Stamp; by: string }): Task<Result<any>> {
-    if (!copy.holdsGrant()) return Fault.fail("notLead", "end lot", this.node.self.id, copy.view?.lead ?? "");
-    if (copy.segments.find("lots", body.id)) return Fault.ok({ ended: true }); // closed long ago: nothing of it can start
-    if (!copy.data.lots.has(body.id)) return Fault.fail("notFound", "end lot", this.node.self.id, `no lot ${body.id}`);
-    const put = yield* copy.put({ putId: `end-${body.id}`, stamp: body.stamp, ops: [{ op: "lotEnd", lot: body.id, by: body.by }], cause: {} }, 1100);
-    return put.ok ? Fault.ok({ ended: true }) : put;
-  }
-
   /** A lot whose put outran the handler's patience was accepted all the same. */
   private noteOpenLots(copy: ShardCopy): void {
-    for (const lot of copy.data.lots.values()) if (lot.open > 0 && !lot.ended) this.openLots.set(lot.id, copy.shard);
+    for (const lot of copy.data.lots.values()) if (lot.open > 0 && !lot.ended && !lot.requests) this.openLots.set(lot.id, copy.shard);
   }
   /** A shard's lead begins: what its log calls for is taken up. @example work.leadStarted(copy); */
   leadStarted(copy: ShardCopy): void {
--- /dev/null
+++ b/test/lotWorld.ts
@@ -0,0 +1,143 @@
+import { Binding } from "../src/control/controlState";
+import { Constants } from "../src/constants";
+import { Daemon, Running } from "../src/core/daemon";
+import { Fault, Result } from "../src/core/fault";
+import { Host } from "../src/core/host";
+import { Node } from "../src/core/node";
+import { Settings } from "../src/core/settings";
+import { Csp, Task } from "../src/csp/csp";
+import { EnvTools } from "../src/env/env";
+import { HandedItem, IntakeHost, LotIntake } from "../src/ingress/lotIntake";
+import { SimDisk } from "../src/sim/simDisk";
+import { SimProcess, SimWorld } from "../src/sim/simWorld";
+import { Listing } from "../src/store/lots";
+import { Putter } from "../src/store/putter";
+import { StoreNode } from "../src/store/storeNode";
+import { EventStandIn } from "../src/tools/eventStandIn";
+
+const district = (at: number): string => ["north", "east", "south", "west"][at % 4];
+const seeds = ["127.0.0.1:1"];
+
+/**
+ * One control member, a few stores, replicas that stream events, and a host that hands lots in, in virtual time.
+ *
+ * @example
+ * const lots = await LotWorld.start(7, { stores: 3, replicas: 2 });
+ * await lots.ask((host) => LotIntake.handIn(host, "L1", "b", binding, items, 3000));
+ */
+export class LotWorld {
+  readonly world: SimWorld;
+  readonly replicas: EventStandIn[] = [];
+  readonly stores = new Map<string, StoreNode>();
+  private readonly disks = new Map<string, SimDisk>();
+  private readonly gone = new Set<string>();
+  private version = 0;
+  caller!: SimProcess;
+  host!: IntakeHost;
+  node!: Node;
+  static readonly binding: Binding = {
+    kind: "item", pool: "model", path: "/", safe: true, deadlineMs: 10_000, continues: "exact", prefixBytes: 0, host: "kiln.example", prefix: "/b/",
+    rounds: 3, completionMs: 10_000, giveUpMs: 40_000,
+  };
+  private constructor(
+    seed: number,
+    readonly size: { stores: number; replicas: number; events: number; slots: number },
+  ) {
+    this.world = new SimWorld(seed);
+  }
+  static async start(seed: number, size: Partial<LotWorld["size"]> = {}, binding: Partial<Binding> = {}): Promise<LotWorld> {
+    const lots = new LotWorld(seed, { stores: 3, replicas: 2, events: 4, slots: 8, ...size });
+    lots.process("control-1", { program: "control", address: seeds[0], founders: seeds, data: "data/control-1" });
+    for (let at = 1; at <= lots.size.stores; at += 1) lots.startStore(`store-${at}`);
+    await lots.startCaller();
+    for (let at = 1; at <= lots.size.replicas; at += 1) await lots.startReplica(`r${at}`);
+    for (let round = 0; round < 40 && Object.keys(lots.node.frame().control?.views ?? {}).length < Constants.shardCount; round += 1) await lots.world.run(500);
+    await lots.configure({ b: { ...LotWorld.binding, ...binding } });
+    await lots.world.run(3000);
+    return lots;
+  }
+  private process(name: string, settings: Partial<Settings>): SimProcess {
+    const disk = this.disks.get(name) ?? new SimDisk(this.world);
+    this.disks.set(name, disk);
+    const process = this.world.start(name, disk);
+    const whole = { cluster: "lots", district: district(this.world.processes.size), http: `127.0.0.1:${50_000 + +settings.address!.split(":")[1]}`, seeds, ...settings } as Settings;
+    const lots = this;
+    Csp.go(process.scope, "main", function* () {
+      const started: Result<Running> = yield* Daemon.start(process.env, whole);
+      if (!started.ok) throw new Error(started.fault.detail);
+      if (whole.program === "store") lots.stores.set(name, started.value as StoreNode);
+    });
+    return process;
+  }
+  startStore(name: string): void {
+    this.process(name, { program: "store", address: `127.0.0.1:${10 + +name.slice(6)}`, data: `data/${name}`, district: district(+name.slice(6)) });
+  }
+  private async startCaller(): Promise<void> {
+    this.caller = this.world.start("caller", new SimDisk(this.world));
+    const { env } = this.caller;
+    const started = await this.world.finish(this.caller, () => Node.start(env, { program: "agent", cluster: "lots", district: "north", address: "127.0.0.1:90", http: "127.0.0.1:91", seeds }, "agent"), 5000);
+    if (!started?.ok) throw new Error("no caller");
+    const node = (this.node = started.value);
+    this.host = { env, rpc: node.rpc, putter: new Putter(env, node.rpc, node.self.id, () => node.frame()), frame: () => node.frame() };
+  }
+  async startReplica(id: string): Promise<void> {
+    const address = `127.0.0.1:${900 + +id.slice(1)}`;
+    const process = this.world.start(`replica-${id}`, new SimDisk(this.world));
+    const replica = new EventStandIn(process.env, address, `${id}-1`, { events: this.size.events, eventMs: 25, slots: this.size.slots });
+    this.replicas.push(replica);
+    await this.world.finish(process, () => replica.start(), 1000);
+    const lots = this;
+    Csp.go(this.caller.scope, `announce ${id}`, function* () {
+      while (!lots.gone.has(id)) {
+        yield* Host.of(lots.node).announce({ id, address, pool: "model", district: "north", version: "v1", capacity: lots.size.slots, active: 0, waiting: 0, instance: `${id}-1` });
+        yield* EnvTools.sleep(lots.caller.env, 900);
+      }
+      yield* Host.of(lots.node).goodbye(id);
+    });
+  }
+  goodbye(id: string): void {
+    this.gone.add(id);
+  }
+  /** @example await lots.configure({ b: LotWorld.binding }); */
+  async configure(bindings: Record<string, Binding>): Promise<void> {
+    const lots = this;
+    const done = await this.ask(function* () {
+      return yield* Host.askControl(Host.of(lots.node), { op: "change", command: { tag: "manifest", changeId: `c${lots.version}`, ifVersion: lots.version, doc: { bindings }, by: "test" } }, 8000);
+    });
+    if (!done?.ok) throw new Error(JSON.stringify(done));
+    this.version = done.value.version;
+  }
+  /** @example await lots.ask((host) => LotIntake.list(host, "L1", 0, 0)) */
+  ask<T>(body: (host: IntakeHost) => Task<T>, withinMs = 20_000): Promise<T | undefined> {
+    return this.world.finish(this.caller, () => body(this.host), withinMs);
+  }
+  items = (lot: string, count: number, tokens = 100): HandedItem[] =>
+    Array.from({ length: count }, (_each, at) => ({
+      id: `${lot}-i${at}`, target: `/b/${at}?x=1`, headers: { "X-Prompt-Parts": "shared:300,own:20" }, body: Buffer.from(`body ${lot} ${at}`).toString("base64"), tokens,
+    }));
+  handIn = (lot: string, count: number, tokens = 100, withinMs = 3000) =>
+    this.ask((host) => LotIntake.handIn(host, lot, "b", { ...LotWorld.binding, ...host.frame().control?.manifest.doc.bindings.b }, this.items(lot, count, tokens), withinMs));
+  async list(lot: string, from = 0): Promise<Listing | undefined> {
+    const listed = await this.ask((host) => LotIntake.list(host, lot, from, 0));
+    return listed?.ok ? listed.value : undefined;
+  }
+  /** Reads until all is listed, or for so long. @example await lots.whole("L1", 8000) */
+  async whole(lot: string, withinMs: number): Promise<Listing> {
+    for (const until = this.world.now + withinMs; ; ) {
+      const listed = await this.list(lot);
+      if (listed && (listed.results.length === listed.total || this.world.now > until)) return listed;
+      if (this.world.now > until) throw new Error(`lot ${lot} not to be read: ${JSON.stringify(Fault.fail("timeout", "list", lot, ""))}`);
+      await this.world.run(250);
+    }
+  }
+  /** The store that leads the lot's shard. @example lots.leadOf("L1") */
+  leadOf(lot: string): string {
+    const shard = this.host.putter.shardOf(lot);
+    return [...this.stores].find(([, store]) => store.copies.get(shard)?.holdsGrant())?.[0] ?? "";
+  }
+  kill(name: string): void {
+    this.stores.delete(name);
+    this.world.kill(name);
+  }
+  errors = (): string[] => [...this.world.processes.values()].flatMap((process) => process.errors);
+}
