--- a/src/store/storeNode.ts
+++ b/src/store/storeNode.ts
@@ -41,7 +41,7 @@
     readonly names: HeaderNames,
   ) {
     this.putter = new Putter(env, node.rpc, node.self.id, () => node.frame());
-    this.chooser = new Chooser(env);
+    this.chooser = new Chooser(env, node.self.id);
     this.work = new Work(env, node, this.putter, this.chooser, this.copies);
     this.quota = new Quota(env, node, this.putter, this.copies);
     this.itemRuns = new ItemRuns(env, node, this.putter, this.chooser, this.copies, names);
