scale: hollow members, control log, lots, choice and losses measured against their sizes

Cause: the size to design for is far beyond one machine; costs have to be worked out from slopes. Ruled out: scripts that only developers find; a model of the protocols instead of the protocols themselves. The real membership, news, frame, group and stores run in virtual time around a meter; a run over the real wire shares a few processes.

--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -3,6 +3,7 @@
 import { FleetCommand } from "./fleetCommand";
 import { OperatorCommands } from "./operatorCommands";
 import { Query } from "./queryCommand";
+import { ScaleCommand } from "./scaleCommand";
 import { SimCommand } from "./simCommand";
 
 /**
@@ -19,6 +20,7 @@
     OperatorCommands.add(program);
     FleetCommand.add(program);
     SimCommand.add(program);
+    ScaleCommand.add(program);
     Query.add(program);
     const fail = (text: string): never => {
       process.stderr.write(`${text}\n`);
--- a/src/sim/simWorld.ts
+++ b/src/sim/simWorld.ts
@@ -62,7 +62,7 @@
       if (error instanceof Killed) return;
       this.errors.push(`${name}: ${task}: ${(error as Error).stack ?? String(error)}`);
     });
-    this.env = world.envOf(this);
+    this.env = world.around(world.envOf(this));
   }
   /** Runs what came from outside, unless the process is frozen or gone. */
   deliver(run: () => void): void {
@@ -109,6 +109,8 @@
   latencyMs: [number, number] = [0.15, 1.2];
   slowDiskShare = 0.004;
   delivered = 0;
+  /** Put around the environment of each process that starts, to count what it does. */
+  around: (env: Env) => Env = (env) => env;
   readonly log: (line: string) => void;
   constructor(seed: number, log: (line: string) => void = () => undefined) {
     this.seed = (seed * 2654435761 + 12345) >>> 0 || 1;
--- /dev/null
+++ b/src/tools/scale/groupWorld.ts
@@ -0,0 +1,81 @@
+import { Command } from "../../control/controlState";
+import { Group } from "../../control/group";
+import { Csp } from "../../csp/csp";
+import { TwoSlots } from "../../env/twoSlots";
+import { SimDisk } from "../../sim/simDisk";
+import { SimProcess, SimWorld } from "../../sim/simWorld";
+import { Rpc } from "../../wire/rpc";
+import { Meter } from "./meter";
+
+type Voter = { id: string; process: SimProcess; group: Group; meter: Meter };
+
+/**
+ * A control group alone, in virtual time: three voters, the others standbys, their messages and disks counted.
+ *
+ * @example
+ * const control = new GroupWorld(5, 1);
+ * await control.boot();
+ */
+export class GroupWorld {
+  readonly world: SimWorld;
+  readonly voters: Voter[] = [];
+  constructor(
+    readonly size: number,
+    seed: number,
+  ) {
+    this.world = new SimWorld(seed);
+  }
+  private addressOf = (id: string): string => `10.1.0.1:${7000 + Number(id.slice(1))}`;
+  /** Founds the group and waits for its lead. @example await control.boot(); */
+  async boot(): Promise<void> {
+    const ids = Array.from({ length: this.size }, (_none, at) => `c${at + 1}`);
+    for (const id of ids) {
+      const meter = new Meter();
+      this.world.around = (env) => meter.around(env);
+      const process = this.world.start(id, new SimDisk(this.world));
+      const rpc = new Rpc(process.env, "scale", id);
+      const hooks = { addressOf: this.addressOf, others: () => ids.filter((other) => other !== id), applied: () => undefined };
+      const group = new Group(process.env, rpc, id, new TwoSlots(process.env, `data/${id}`), hooks);
+      this.voters.push({ id, process, group, meter });
+      const addressOf = this.addressOf;
+      Csp.go(process.scope, "main", function* () {
+        yield* rpc.serve(addressOf(id));
+        yield* group.open();
+        if (ids.indexOf(id) < 3) yield* group.found("group-scale", ids.slice(0, 3));
+        group.start();
+      });
+    }
+    for (let waited = 0; !this.lead(); waited += 1) {
+      if (waited > 200) throw new Error("no control lead in 20 s");
+      await this.world.run(100);
+    }
+    await this.world.run(2000);
+  }
+  /** @example control.lead()?.group.applied */
+  lead(): Voter | undefined {
+    return this.voters.find((voter) => voter.group.holdsLead());
+  }
+  /** Proposes commands side by side; how long each took, and how many were taken. @example await control.propose([{ tag: "noop" }], 5000) */
+  async propose(commands: Command[], withinMs: number): Promise<{ taken: number; tookMs: number[] }> {
+    const lead = this.lead()!;
+    const found = { taken: 0, tookMs: [] as number[] };
+    const { world } = this;
+    let left = commands.length;
+    for (const command of commands)
+      Csp.go(lead.process.scope, "propose", function* () {
+        const from = world.now;
+        const done = yield* lead.group.propose(command, withinMs);
+        if (done.ok && done.value.tag === "done") {
+          found.taken += 1;
+          found.tookMs.push(world.now - from);
+        }
+        left -= 1;
+      });
+    for (const until = world.now + withinMs + 1000; left > 0 && world.now < until; ) await world.run(5);
+    return found;
+  }
+  /** @example control.end(); */
+  end(): void {
+    for (const voter of this.voters) this.world.kill(voter.id);
+  }
+}
--- /dev/null
+++ b/src/tools/scale/hollowWorld.ts
@@ -0,0 +1,118 @@
+import { ControlFrame, ControlState } from "../../control/controlState";
+import { Csp } from "../../csp/csp";
+import { SimDisk } from "../../sim/simDisk";
+import { SimWorld } from "../../sim/simWorld";
+import { HollowMember } from "./hollowMember";
+import { Counts, Meter } from "./meter";
+
+export type HollowPlan = { members: number; replicas: number; zones: number; regions: number; seed: number };
+type Placed = { name: string; zone: number; region: number; meter: Meter; member: HollowMember | undefined };
+const kept = (each: Placed): each is Placed & { member: HollowMember } => each.member !== undefined;
+
+/**
+ * Hollow members in virtual time, spread over zones and regions, their messages and bytes counted.
+ *
+ * @example
+ * const hollow = new HollowWorld({ members: 60, replicas: 17, zones: 25, regions: 7, seed: 1 });
+ * await hollow.boot(60_000);
+ */
+export class HollowWorld {
+  readonly world: SimWorld;
+  readonly placed: Placed[] = [];
+  suspicions = 0;
+  private readonly meters = new Map<string, Meter>();
+  constructor(readonly plan: HollowPlan) {
+    this.world = new SimWorld(plan.seed, (line) => {
+      if (line.includes(" PB1102")) this.suspicions += 1;
+    });
+    this.world.around = (env) => {
+      const meter = new Meter();
+      this.meters.set(env.name, meter);
+      return meter.around(env);
+    };
+  }
+  private address = (at: number): string => `10.${at >> 8}.${at & 255}.1:7000`;
+  /** Starts all; how long until each knows each, or undefined if not in time. @example await hollow.boot(60_000) */
+  async boot(withinMs: number): Promise<number | undefined> {
+    const { members, replicas, zones, regions } = this.plan;
+    const seeds = [0, 1, 2].filter((at) => at < members).map(this.address);
+    for (let at = 0; at < members; at += 1) {
+      const zone = at % zones;
+      const [name, place] = [`hollow-${at + 1}`, this.address(at)];
+      const process = this.world.start(name, new SimDisk(this.world));
+      const placed: Placed = { name, zone, region: zone % regions, meter: this.meters.get(name)!, member: undefined };
+      this.placed.push(placed);
+      Csp.go(process.scope, "main", function* () {
+        const settings = { program: at < 3 ? ("control" as const) : ("agent" as const), district: `r${placed.region}-z${zone}`, address: place, seeds };
+        const started = yield* HollowMember.start(process.env, settings);
+        if (started.ok) placed.member = started.value;
+      });
+    }
+    const took = await this.until(withinMs, () => this.alive().length === members && this.alive().every((each) => each.others() === members - 1));
+    for (const [at, each] of this.placed.filter(kept).entries()) {
+      const ids = Array.from({ length: replicas }, (_none, replica) => replica).filter((replica) => replica % members === at).map((replica) => `replica-${replica}`);
+      if (ids.length > 0) each.member.announce(ids, `r${each.region}-z${each.zone}`);
+    }
+    return took;
+  }
+  /** Members whose processes run. @example hollow.alive().length */
+  alive(): HollowMember[] {
+    return this.placed.filter(kept).filter((each) => this.world.processes.get(each.name)!.alive).map((each) => each.member);
+  }
+  /** Lets time pass until something holds; how long it took. @example await hollow.until(5000, () => true) */
+  async until(withinMs: number, reached: () => boolean, stepMs = 10): Promise<number | undefined> {
+    const from = this.world.now;
+    while (!reached()) {
+      if (this.world.now - from >= withinMs) return undefined;
+      await this.world.run(stepMs);
+    }
+    return this.world.now - from;
+  }
+  /** What all members did over so long, a member and second. @example (await hollow.over(10_000)).bytes */
+  async over(ms: number): Promise<Counts> {
+    const before = this.placed.map((each) => each.meter.copy());
+    await this.world.run(ms);
+    const spent = Meter.sum(this.placed.map((each, at) => each.meter.since(before[at])));
+    const members = this.alive().length;
+    return Object.fromEntries(Object.entries(spent).map(([name, value]) => [name, value / members / (ms / 1000)])) as Counts;
+  }
+  /** Ends the members that are chosen; how long until all others know. @example await hollow.lose((each) => each.zone === 3, 20_000) */
+  async lose(chosen: (each: Placed) => boolean, withinMs: number): Promise<{ lost: number; tookMs: number | undefined }> {
+    const lost = this.placed.filter(chosen);
+    const ids = lost.map((each) => each.member!.node.self.id);
+    for (const each of lost) this.world.kill(each.name, true);
+    const known = (): boolean => this.alive().every((member) => ids.every((id) => (member.node.membership.find(id)?.state ?? "dead") === "dead"));
+    return { lost: lost.length, tookMs: await this.until(withinMs, known) };
+  }
+  /** Cuts two regions from each other. @example hollow.cutRegions(0, 1); */
+  cutRegions(left: number, right: number): void {
+    const of = (region: number): Placed[] => this.placed.filter((each) => each.region === region);
+    for (const one of of(left))
+      for (const other of of(right)) {
+        this.world.cut(one.name, other.name);
+        this.world.cut(other.name, one.name);
+      }
+  }
+  /** Offers a frame with so many bindings at one member; how long until all have it. @example await hollow.spread(1000, 2, 10_000) */
+  async spread(bindings: number, index: number, withinMs: number): Promise<number | undefined> {
+    const frame = HollowWorld.frame(bindings, index);
+    this.alive()[0].node.news.offerFrame(frame);
+    return this.until(withinMs, () => this.alive().every((member) => (member.node.news.frame?.index ?? 0) >= index));
+  }
+  /** A control frame with so many bindings. @example HollowWorld.frame(12_000, 7) */
+  static frame(bindings: number, index: number): ControlFrame {
+    const state = ControlState.empty();
+    state.group = "group-scale";
+    const doc = { bindings: Object.fromEntries(Array.from({ length: bindings }, (_none, at) => [`tenant-${at}`, HollowWorld.binding(at)])) };
+    state.manifest = { version: index, doc };
+    return ControlState.frame(state, index);
+  }
+  /** @example HollowWorld.binding(7).pool */
+  static binding(at: number): ControlFrame["manifest"]["doc"]["bindings"][string] {
+    return { kind: "stream", pool: `pool-${at % 9}`, path: `/t/${at}`, safe: true, deadlineMs: 15_000, continues: "exact", prefixBytes: 512, host: `tenant-${at}.example`, prefix: "/v1/" };
+  }
+  /** Ends everything. @example hollow.end(); */
+  end(): void {
+    for (const name of [...this.world.processes.keys()]) this.world.kill(name);
+  }
+}
--- /dev/null
+++ b/src/tools/scale/manifestScale.ts
@@ -0,0 +1,46 @@
+import { Experiment, Processor } from "./experiment";
+import { HollowWorld } from "./hollowWorld";
+
+const members = 30;
+const rounds = 3;
+const waitMs = 10_000;
+
+/** One configuration after another at one member: what it costs until all have it. */
+async function measure(bindings: number, seed: number): Promise<Record<string, number>> {
+  const hollow = new HollowWorld({ members, replicas: 0, zones: 25, regions: 7, seed });
+  await hollow.boot(60_000);
+  await hollow.world.run(3000);
+  const quiet = await hollow.over(10_000);
+  const times: number[] = [];
+  const processor = Processor.now();
+  const before = hollow.placed.map((each) => each.meter.copy());
+  const from = hollow.world.now;
+  for (let round = 1; round <= rounds; round += 1) {
+    times.push((await hollow.spread(bindings, round, waitMs)) ?? NaN);
+    await hollow.world.run(500);
+  }
+  const bytes = hollow.placed.reduce((sum, each, at) => sum + each.meter.since(before[at]).bytes, 0) / members;
+  const idle = (quiet.bytes * (hollow.world.now - from)) / 1000;
+  hollow.end();
+  return { bytes: Math.max(0, bytes - idle) / rounds, processorMs: Processor.since(processor) / members / rounds, inForceMs: Math.max(...times) };
+}
+
+/**
+ * A configuration on its way to every member, whole, against the bindings in it.
+ *
+ * @example
+ * const measured = await ManifestScale.bindings.measure(1000, 1);
+ */
+export const ManifestScale = {
+  /** @example await ManifestScale.bindings.measure(1000, 1) */
+  bindings: {
+    about: "A configuration fetched by 30 members against its bindings, virtual time (which no processor time delays).",
+    unit: "binding", sizes: [100, 1000, 3000, 6000],
+    bound: { name: "bindings", least: 1, most: 60_000, why: "an operator's manifest is refused past 8 MB, which is about as many" },
+    metrics: {
+      bytes: { what: "bytes put out a member a change", counted: true },
+      processorMs: { what: "ms of processor a member a change, the simulator's share among them", counted: false },
+    },
+    measure,
+  } as Experiment,
+};
--- /dev/null
+++ b/src/tools/scale/memberScale.ts
@@ -0,0 +1,65 @@
+import { Experiment, Processor } from "./experiment";
+import { Heap } from "./heap";
+import { HollowWorld } from "./hollowWorld";
+
+const bound = { name: "members", least: 10, most: 1000, why: "virtual time holds all of them in one process" };
+const settleMs = 6000;
+const overMs = 10_000;
+
+async function measure(members: number, replicas: number, seed: number): Promise<Record<string, number>> {
+  const before = Heap.used();
+  const hollow = new HollowWorld({ members, replicas, zones: 25, regions: 7, seed });
+  const allKnown = await hollow.boot(120_000);
+  await hollow.world.run(settleMs);
+  const processor = Processor.now();
+  const suspicions = hollow.suspicions;
+  const spent = await hollow.over(overMs);
+  const processorMs = Processor.since(processor) / members / (overMs / 1000);
+  const falseSuspicions = hollow.suspicions - suspicions;
+  const heap = (Heap.used() - before) / members / 1000;
+  const known = hollow.alive().map((member) => member.replicas());
+  const dead = await hollow.lose((each) => each.name === "hollow-9", 30_000);
+  hollow.end();
+  return {
+    datagrams: spent.datagrams, frames: spent.frames, bytes: spent.bytes, links: spent.links, wakeUps: spent.wakeUps, processorMs, heapKB: heap,
+    allKnownMs: allKnown ?? NaN, deadKnownMs: dead.tookMs ?? NaN, falseSuspicions, replicasUnknown: replicas - Math.min(...known),
+  };
+}
+const metrics = {
+  datagrams: { what: "datagrams a member a second", counted: true },
+  frames: { what: "frames over TCP a member a second", counted: true },
+  bytes: { what: "bytes put out a member a second, headers among them", counted: true },
+  links: { what: "connections made a member a second", counted: true },
+  wakeUps: { what: "timers that fire a member a second", counted: true },
+  processorMs: { what: "ms of processor a member a second, its share of the simulator's among them", counted: false },
+  heapKB: { what: "KB of heap a member, its share of the simulator's among them", counted: false },
+};
+
+/**
+ * Membership and news against the number of members, with a few replicas, and against the number of replicas.
+ *
+ * @example
+ * const measured = await MemberScale.members.measure(60, 1);
+ */
+export const MemberScale = {
+  /** @example await MemberScale.members.measure(60, 1) */
+  members: {
+    about: "Membership and news against members, 17 replicas that announce themselves, virtual time.",
+    unit: "member", sizes: [30, 60, 120, 240], bound,
+    metrics: {
+      ...metrics,
+      allKnownMs: { what: "ms from the start of all until each knows each", counted: true },
+      deadKnownMs: { what: "ms until all know that one is dead", counted: true },
+    },
+    measure: (size: number, seed: number) => measure(size, 17, seed),
+  } as Experiment,
+  /** @example await MemberScale.replicas.measure(100, 1) */
+  replicas: {
+    about: "Membership and news against replicas whose load changes with each announcement, 30 members, virtual time.",
+    unit: "replica", sizes: [17, 50, 100, 200],
+    bound: { name: "replicas", least: 1, most: 3000, why: "each member of the simulated fleet holds all of them" },
+    metrics, measure: (size: number, seed: number) => measure(30, size, seed),
+  } as Experiment,
+  /** Everything of one size, with what is no slope. @example await MemberScale.whole(780, 100, 1) */
+  whole: measure,
+};
--- /dev/null
+++ b/src/tools/scale/sizes.ts
@@ -0,0 +1,38 @@
+import * as os from "os";
+import { Fault, Result } from "../../core/fault";
+
+export type Bound = { name: string; least: number; most: number; why: string };
+const hollowMember = 1_500_000; // bytes; one hollow member at rest, measured by `scale members`
+const heldFact = 1_100; // bytes; one replica known to one member, measured by `scale replicas`
+
+/**
+ * Sizes as they are typed, checked against what is possible before anything starts.
+ *
+ * @example
+ * const sizes = Sizes.read("30,60,120", { name: "members", least: 3, most: 2000, why: "one process holds no more" });
+ */
+export const Sizes = {
+  /** @example Sizes.read("30,60", bound) */
+  read(text: unknown, bound: Bound): Result<number[]> {
+    const refuse = (detail: string): Result<never> => Fault.fail("invalid", "read sizes", bound.name, detail);
+    const sizes = String(text).split(",").map((part) => (part.trim() === "" ? NaN : Number(part)));
+    for (const size of sizes) {
+      if (!Number.isInteger(size)) return refuse(`${bound.name}: ${String(text)} is not whole numbers with commas`);
+      if (size < bound.least) return refuse(`${bound.name}: ${size} is under the least, ${bound.least}`);
+      if (size > bound.most) return refuse(`${bound.name}: ${size} is over the limit of ${bound.most}: ${bound.why}`);
+    }
+    return Fault.ok(sizes);
+  },
+  /** Half of the machine's memory, which all hollow members together may take. @example Sizes.memoryLimit() */
+  memoryLimit: (): number => os.totalmem() / 2,
+  /** What hollow members will need, bytes. @example Sizes.needed(780, 10_000) */
+  needed: (members: number, replicas: number): number => members * (hollowMember + replicas * heldFact),
+  /** Refused when the members with so many replicas can't be held. @example Sizes.fits(780, 10_000).ok */
+  fits(members: number, replicas: number, limit: number = os.totalmem() / 2): Result<true> {
+    const needed = Sizes.needed(members, replicas);
+    if (needed <= limit) return Fault.ok(true as const);
+    const gib = (bytes: number): string => (bytes / 2 ** 30).toFixed(1);
+    const detail = `${members} members with ${replicas} replicas need about ${gib(needed)} GiB, over the limit of ${gib(limit)} GiB, half of this machine's memory`;
+    return Fault.fail("invalid", "read sizes", "members", detail);
+  },
+};
--- /dev/null
+++ b/src/tools/scale/storeScale.ts
@@ -0,0 +1,75 @@
+import { Experiment } from "./experiment";
+import { QuietFleet } from "./quietFleet";
+
+const overMs = 10_000;
+
+async function idle(stores: number, seed: number): Promise<Record<string, number>> {
+  const quiet = await QuietFleet.boot({ ingresses: 3, stores, controls: 4 }, seed);
+  quiet.fleet.world.kill("operator");
+  await quiet.fleet.run(1000);
+  const spent = await quiet.over(overMs);
+  quiet.end();
+  return { bytes: spent.store.bytes, frames: spent.store.frames, wakeUps: spent.store.wakeUps, writes: spent.store.writes, controlBytes: spent.control.bytes, controlWakeUps: spent.control.wakeUps };
+}
+/** One lot, from its acceptance until all its results are read; what the stores spent on it, idle time taken off. */
+async function lot(items: number, seed: number): Promise<Record<string, number>> {
+  const quiet = await QuietFleet.boot({ ingresses: 2, stores: 4, controls: 4 }, seed);
+  const idleRate = (await quiet.over(5000)).store;
+  const before = quiet.spent("store");
+  const from = quiet.fleet.world.now;
+  const put = await quiet.fleet.operate("POST", "/v1/lots", { id: "L1", binding: "confirm", items: Array.from({ length: items }, (_none, at) => ({ n: at })) }, {}, quiet.fleet.plan.ingressHttp[0]);
+  if (put?.status !== 202) {
+    quiet.end();
+    throw new Error(`a lot of ${items} items was not taken: ${put?.status} ${JSON.stringify(put?.body)}`);
+  }
+  const acceptedMs = quiet.fleet.world.now - from;
+  let finished = false;
+  for (let round = 0; round < 600 && !finished; round += 1) {
+    const read = await quiet.fleet.operate("GET", `/v1/lots/L1/results?after=${items - 1}`, undefined, {}, quiet.fleet.plan.ingressHttp[0]);
+    finished = read?.body.finished === true;
+    await quiet.fleet.run(250);
+  }
+  const tookS = (quiet.fleet.world.now - from) / 1000;
+  const now = quiet.spent("store");
+  const cost = (name: "bytes" | "frames" | "writtenBytes" | "writes"): number => (now[name] - before[name] - idleRate[name] * tookS) * 4;
+  quiet.end();
+  return { bytes: cost("bytes"), frames: cost("frames"), writtenBytes: cost("writtenBytes"), writes: cost("writes"), acceptedMs, tookMs: finished ? tookS * 1000 : NaN };
+}
+
+/**
+ * Stores: what eight shards cost them idle, and what a lot costs them all.
+ *
+ * @example
+ * const measured = await StoreScale.lots.measure(240, 1);
+ */
+export const StoreScale = {
+  /** @example await StoreScale.idle.measure(8, 1) */
+  idle: {
+    about: "A fleet that nobody calls, with 8 shards of three copies, against its stores, virtual time.",
+    unit: "store", sizes: [4, 8, 16],
+    bound: { name: "stores", least: 3, most: 60, why: "with 8 shards of three copies, more than 24 hold nothing" },
+    metrics: {
+      bytes: { what: "bytes put out a store a second", counted: true },
+      frames: { what: "frames put out a store a second", counted: true },
+      wakeUps: { what: "timers that fire a store a second", counted: true },
+      writes: { what: "synced writes a store a second", counted: true },
+      controlBytes: { what: "bytes put out a control machine a second", counted: true },
+      controlWakeUps: { what: "timers that fire a control machine a second", counted: true },
+    },
+    measure: idle,
+  } as Experiment,
+  /** @example await StoreScale.lots.measure(240, 1) */
+  lots: {
+    about: "One lot from acceptance to its last result, three copies on 4 stores, items of 10 bytes, against its items, virtual time.",
+    unit: "item", sizes: [24, 240, 1000, 2000],
+    bound: { name: "items", least: 1, most: 300_000, why: "the largest lot asked for" },
+    metrics: {
+      bytes: { what: "bytes put out by all stores together", counted: true },
+      frames: { what: "frames put out by all stores together", counted: true },
+      writtenBytes: { what: "bytes written to all disks together", counted: true },
+      writes: { what: "synced writes of all stores together", counted: true },
+      tookMs: { what: "ms from handing in to the last result read, one lot alone", counted: true },
+    },
+    measure: lot,
+  } as Experiment,
+};
--- /dev/null
+++ b/src/tools/scale/wholeWorker.ts
@@ -0,0 +1,110 @@
+import { Csp, Scope, Task } from "../../csp/csp";
+import { EnvTools } from "../../env/env";
+import { NodeEnv } from "../../env/nodeEnv";
+import { Program } from "../../membership/member";
+import { HollowMember } from "./hollowMember";
+import { HollowWorld } from "./hollowWorld";
+import { Counts, Meter } from "./meter";
+
+export type WorkerOrder = { from: number; to: number; members: number; replicas: number; zones: number; regions: number; startEveryMs: number };
+export type WorkerSaid = {
+  counts: Counts; members: number; othersLeast: number; replicasLeast: number; suspicions: number; deaths: number; inForce: number;
+  cpuMs: number; rss: number; stallMs: number; dropped: number;
+};
+
+/** A loopback address of each member's own. */
+const addressOf = (at: number): string => `127.${20 + (at >> 14)}.${(at >> 7) & 127}.${1 + (at & 127)}:7100`;
+
+/**
+ * The part of a run of hollow members that one operating system process holds; its parent orders and asks over IPC.
+ *
+ * @example
+ * new WholeWorker(order).start();
+ */
+export class WholeWorker {
+  private readonly meter = new Meter();
+  private readonly members: HollowMember[] = [];
+  private readonly scope: Scope;
+  private suspicions = 0;
+  private deaths = 0;
+  private stallMs = 0;
+  constructor(private readonly order: WorkerOrder) {
+    this.scope = new Scope("whole", (task, error) => process.stderr.write(`${task}: ${String((error as Error).stack ?? error)}\n`));
+  }
+  /** @example worker.start(); */
+  start(): void {
+    Csp.go(this.scope, "start", () => this.startAll());
+    Csp.go(this.scope, "stalls", () => this.watchStalls());
+  }
+  private *watchStalls(): Task<void> {
+    const env = NodeEnv.make("stalls", this.scope, () => undefined);
+    for (;;) {
+      const from = env.mono();
+      yield* EnvTools.sleep(env, 50);
+      this.stallMs = Math.max(this.stallMs, env.mono() - from - 50);
+    }
+  }
+  private *startAll(): Task<void> {
+    const { from, to, members, replicas, zones, regions, startEveryMs } = this.order;
+    const seeds = [0, 1, 2].map(addressOf);
+    for (let at = from; at < to; at += 1) {
+      const scope = this.scope.branch(`hollow-${at}`);
+      const env = this.meter.around(NodeEnv.make(`hollow-${at}`, scope, (event) => this.count(event)));
+      const district = `r${(at % zones) % regions}-z${at % zones}`;
+      const program: Program = at < 3 ? "control" : "agent";
+      const started = yield* HollowMember.start(env, { program, district, address: addressOf(at), seeds });
+      if (!started.ok) {
+        process.stderr.write(`hollow ${at}: ${started.fault.detail}\n`);
+        continue;
+      }
+      this.members.push(started.value);
+      const ids = Array.from({ length: replicas }, (_none, replica) => replica).filter((replica) => replica % members === at).map((replica) => `replica-${replica}`);
+      if (ids.length > 0) started.value.announce(ids, district);
+      yield* EnvTools.sleep(env, startEveryMs);
+    }
+  }
+  private count(event: number): void {
+    if (event === 1102) this.suspicions += 1;
+    if (event === 1103) this.deaths += 1;
+  }
+  /** Makes a configuration known at the first member. @example worker.offer(100, 1); */
+  offer(bindings: number, index: number): void {
+    this.members[0]?.node.news.offerFrame(HollowWorld.frame(bindings, index));
+  }
+  /** @example worker.say().rss */
+  say(): WorkerSaid {
+    const used = process.cpuUsage();
+    const stallMs = this.stallMs;
+    this.stallMs = 0;
+    const least = (pick: (member: HollowMember) => number): number => this.members.reduce((low, member) => Math.min(low, pick(member)), Infinity);
+    return {
+      counts: this.meter.copy(), members: this.members.length, othersLeast: least((member) => member.others()), replicasLeast: least((member) => member.replicas()),
+      suspicions: this.suspicions, deaths: this.deaths, inForce: this.members.filter((member) => (member.node.news.frame?.index ?? 0) > 0).length,
+      cpuMs: (used.user + used.system) / 1000, rss: process.memoryUsage().rss, stallMs, dropped: this.members.reduce((sum, member) => sum + member.node.membership.dropped, 0),
+    };
+  }
+  /** What a forked process does: obeys its parent and ends with it. @example WholeWorker.serve(); */
+  static serve(): void {
+    let worker: WholeWorker | undefined;
+    process.on("disconnect", () => process.exit(0));
+    process.on("message", (message: { tag: "start"; order: WorkerOrder } | { tag: "say" } | { tag: "offer"; bindings: number; index: number }) => {
+      switch (message.tag) {
+        case "start":
+          worker = new WholeWorker(message.order);
+          worker.start();
+          break;
+        case "offer":
+          worker?.offer(message.bindings, message.index);
+          break;
+        case "say":
+          if (worker) process.send?.(worker.say());
+          break;
+        default: {
+          const never: never = message;
+          throw new Error(String(never));
+        }
+      }
+    });
+  }
+}
+if (require.main === module) WholeWorker.serve();
