--- a/src/adapters/callerHttp.ts
+++ b/src/adapters/callerHttp.ts
@@ -4,6 +4,7 @@
 import { Fault, Result } from "../core/fault";
 import { Hash } from "../core/hash";
 import type { Accepted, IngressNode, Reply } from "../ingress/ingressNode";
+import { HandedItem, LotIntake } from "../ingress/lotIntake";
 import { Http, Route } from "./http";
 import { OperatorSchemas } from "./operatorSchemas";
 
@@ -146,6 +147,15 @@
       yield* relay(incoming, id, +last, env.mono() + Constants.requestDeadlineMs, false);
     };
 
+    /** A lot whose items are whole requests: 202 also for a repeat, since each of its callers may have lost the first reply. */
+    const handIn = function* (incoming: HttpIn, id: string, accepted: Accepted, items: HandedItem[]): Task<void> {
+      ingress.counts.lots += 1;
+      const handed = yield* LotIntake.handIn(ingress, id, accepted.name, accepted.binding, items, Constants.lotHoldMs);
+      if (!handed.ok) return Http.problem(incoming, handed.fault, handed.fault.tag === "busy" && handed.fault.step === "quota" ? 429 : undefined, { lot: id });
+      if (handed.value.tag === "exists" && handed.value.state === "trimmed") return Http.problem(incoming, { tag: "gone", step: "hand in", member: ingress.id, detail: "the lot was done, and its results trimmed by retention" });
+      if (handed.value.tag === "exists" && !handed.value.same) return Http.problem(incoming, { tag: "conflict", step: "hand in", member: ingress.id, detail: "the lot id was used with other items" }, 422);
+      Http.json(incoming, 202, { id, items: items.length });
+    };
     const acceptLot = function* (incoming: HttpIn): Task<void> {
       const body = yield* Http.body(incoming, Constants.bodyLimitBytes);
       if (!body) return;
@@ -154,10 +164,11 @@
       const accepted = ingress.accept(checked.value.binding, incoming.headers);
       if (!accepted.ok) return Http.problem(incoming, accepted.fault);
       if (accepted.value.binding.kind !== "item") return Http.problem(incoming, { tag: "invalid", step: "accept lot", member: ingress.id, detail: `binding ${checked.value.binding} is not of kind item` });
+      const id = checked.value.id ?? EnvTools.id(env, "lot");
+      if (checked.value.requests) return yield* handIn(incoming, id, accepted.value, checked.value.requests);
       const stamp = ingress.stamp();
       if (!stamp.ok) return Http.problem(incoming, stamp.fault);
-      const id = checked.value.id ?? EnvTools.id(env, "lot");
-      const bodies = checked.value.items.map((item) => JSON.stringify(item));
+      const bodies = checked.value.items!.map((item) => JSON.stringify(item));
       const lot = { id, binding: accepted.value.name, bodyHash: Hash.text(JSON.stringify([accepted.value.name, bodies])), bodies, safe: accepted.value.binding.safe, order: accepted.value.order, kept: accepted.value.binding };
       ingress.counts.lots += 1;
       let first = true;
@@ -212,6 +223,14 @@
           Http.json(incoming, 200, { id, ...read.value, next: after + read.value.results.length });
         },
       },
+      {
+        method: "GET", path: /^\/v1\/lots\/([^/]+)\/items\/([^/]+)$/,
+        *run(incoming, [id, item]) {
+          const found = yield* LotIntake.itemBody(ingress, id, item);
+          if (!found.ok) return Http.problem(incoming, found.fault);
+          incoming.send(200, { "content-type": "application/octet-stream" }, Buffer.from(found.value.body, "base64"));
+        },
+      },
       {
         method: "POST", path: /^\/v1\/lots\/([^/]+)\/end$/,
         *run(incoming, [id]) {
--- a/src/adapters/operatorSchemas.ts
+++ b/src/adapters/operatorSchemas.ts
@@ -4,6 +4,7 @@
 import { ManifestPatch, Manifests } from "../control/manifests";
 import { Fault, Result } from "../core/fault";
 import { Announcement } from "../core/host";
+import type { HandedItem } from "../ingress/lotIntake";
 
 const name = { type: "string", pattern: "^[A-Za-z0-9._-]{1,80}$" };
 const age = { type: "integer", minimum: 1 };
@@ -108,8 +109,21 @@
   },
 };
 const lotSchema = {
-  type: "object", additionalProperties: false, required: ["binding", "items"],
-  properties: { id: { type: "string", pattern: "^[A-Za-z0-9._-]{1,120}$" }, binding: name, items: { type: "array", minItems: 1, maxItems: Constants.lotItemsMax } },
+  type: "object", additionalProperties: false, required: ["binding"], oneOf: [{ required: ["items"] }, { required: ["requests"] }],
+  properties: {
+    id: { type: "string", pattern: "^[A-Za-z0-9._-]{1,120}$" }, binding: name, items: { type: "array", minItems: 1, maxItems: Constants.lotItemsMax },
+    requests: {
+      type: "array", minItems: 1, maxItems: Constants.lotItemsMax,
+      items: {
+        type: "object", additionalProperties: false, required: ["id", "target"],
+        properties: {
+          id: { type: "string", minLength: 1, maxLength: 120 }, target: { type: "string", pattern: "^/" },
+          headers: { type: "object", default: {}, additionalProperties: { type: "string", maxLength: 8192 } },
+          body: { type: "string", default: "" }, tokens: { type: "integer", minimum: 0, maximum: 100_000_000, default: 0 },
+        },
+      },
+    },
+  },
 };
 const recoverySchema = { type: "object", additionalProperties: false, required: ["group", "voter", "acceptLoss"], properties: { group: text, voter: text, acceptLoss: { const: true } } };
 const ajv = new Ajv({ allErrors: true, useDefaults: true, strict: false });
@@ -177,5 +191,5 @@
   },
   announcement: (candidate: unknown): Result<Announcement> => run(compiled.announcement, "announcement", candidate),
   recovery: (candidate: unknown): Result<{ group: string; voter: string }> => run(compiled.recovery, "recovery", candidate),
-  lot: (candidate: unknown): Result<{ id?: string; binding: string; items: unknown[] }> => run(compiled.lot, "lot", candidate),
+  lot: (candidate: unknown): Result<{ id?: string; binding: string; items?: unknown[]; requests?: HandedItem[] }> => run(compiled.lot, "lot", candidate),
 };
--- a/src/store/storeNode.ts
+++ b/src/store/storeNode.ts
@@ -248,7 +248,7 @@
         const finished = lot.open === 0 && lot.positions.length === lot.items.filter((item) => item.stamp).length;
         if (positions.length > 0 || finished || this.env.mono() >= until)
           return Fault.ok({
-            results: positions.map((item, at) => ({ position: body.after + at + 1, item, state: lot.items[item].state, result: lot.items[item].result, stamp: Stamp.text(lot.items[item].stamp!) })),
+            results: positions.map((item, at) => ({ position: body.after + at + 1, item, ...(lot.requests ? { id: lot.requests[item].id } : {}), state: lot.items[item].state, result: lot.items[item].result, stamp: Stamp.text(lot.items[item].stamp!) })),
             finished: finished && body.after + positions.length === lot.positions.length, ended: lot.ended, frontier,
           });
       } else if (copy.holdsGrant()) return Fault.fail("notFound", "lot results", this.node.self.id, `no lot ${body.id}`);
