--- a/src/env/nodeEnv.ts
+++ b/src/env/nodeEnv.ts
@@ -196,9 +196,9 @@
     socket.setTimeout(keptMs);
     return true;
   }
-  reuseSocket(socket: net.Socket): void {
+  reuseSocket(socket: net.Socket, request: http.ClientRequest): void {
     socket.setTimeout(0);
-    socket.ref();
+    super.reuseSocket(socket, request);
   }
 }
 const agent = new PatientAgent({ keepAlive: true, maxSockets: 512, maxFreeSockets: 24 });
