--- a/src/constants.ts
+++ b/src/constants.ts
@@ -28,6 +28,7 @@
   newsFanout: 3, // members told at once
   digestPeriodMs: 500, // ms; digests compared with one member; mends gaps well inside two seconds
   replicaGrantMs: 4000, // ms; a replica not heard of for this long is not chosen
+  replicaQuietMs: 2700, // ms; not heard of for two announcements and the way of news: others are chosen where there are any
   replicaRenewMs: 900, // ms; an unchanged announcement is passed on at most this often: under the usual pause between two
   tombstoneMs: 30_000, // ms; outlives every grant, so a goodbye is never undone by old news
 
@@ -130,6 +131,14 @@
   refuseShare: 0.22, // share; of its aim that a request may wait for room: refused later it earns nothing more
   comeBackMs: 250, // ms; told with a refusal for want of room: about one reply's time
   stopListenMs: 3000, // ms; after SIGTERM callers are still sent here until they have seen that we are unready
+  promptTokensPerMs: 100, // tokens; read in a ms by a replica: a guess that only sorts prompts into long and short
+  promptPartsMax: 64, // parts; of one prompt that are looked at
+  longPromptShare: 0.25, // share; of the pause that others bear, past which reading a prompt alone makes it long
+  laneFadeMs: 8000, // ms; over which the rate of long prompts fades
+  laneBusyShare: 0.1, // share; of its time that a replica of the long prompts' own may read them
+  laneReplicasMin: 4, // replicas; smaller pools are not parted
+  rehearsalRequests: 160, // requests; an ingress passes to itself before it says that it is ready, so that callers meet warm code
+  rehearsalMs: 1500, // ms; at most
   boundedLoad: 1.25, // factor; prefix affinity gives way above this multiple of mean load
   ejectFailures: 3, // failures in a row; then the replica is left alone
   ejectMs: 3000, // ms; left alone this long, then tried with one request
--- a/src/core/chooser.ts
+++ b/src/core/chooser.ts
@@ -3,9 +3,10 @@
 import { PolicyLine } from "../control/controlState";
 import { Frame, Replica } from "./frame";
 import { Hash } from "./hash";
+import { Prompt, PromptLanes } from "./promptLanes";
 
 type Liveness = { failures: number; coldStartAt: number; ejectedUntil: number; inFlight: number; startedSince: number; lastStartAt: number; seen: Replica | undefined };
-export type Wish = { frame: Frame; pool: string; binding: string; caller: string; kind: string; prefix: string; lane: "live" | "lot"; exclude: Set<string> };
+export type Wish = { frame: Frame; pool: string; binding: string; caller: string; kind: string; prefix: string; lane: "live" | "lot"; exclude: Set<string>; prompt?: Prompt; gapMs?: number };
 
 /**
  * Choice of a replica: prefix affinity with bounded load, two choices where there is no prefix, slow start
@@ -22,11 +23,13 @@
   hits = 0;
   misses = 0;
   private readonly startedAt: number;
+  private readonly lanes: PromptLanes;
   constructor(
     private readonly env: Env,
     private readonly self = "",
   ) {
     this.startedAt = env.mono();
+    this.lanes = new PromptLanes(env);
   }
 
   private of(replica: Replica): Liveness {
@@ -97,7 +100,8 @@
     const choosers = Math.max(1, senders.length);
     const pool = wish.frame.control?.manifest.doc.pools?.[wish.pool];
     const share = wish.lane === "lot" ? 1 - Constants.reservedShare : 1;
-    const room = this.eligible(wish).filter((replica) => {
+    const everyone = this.eligible(wish);
+    const withRoom = everyone.filter((replica) => {
       if (wish.exclude.has(replica.key)) return false;
       const known = this.of(replica);
       if (known.ejectedUntil > now) return false;
@@ -108,7 +112,9 @@
       if (ramp < 1 && now - known.lastStartAt < (1000 * choosers) / (replica.capacity * ramp * Constants.slowStartPerSecond)) return false;
       return this.load(replica) < Math.max(1, Math.floor(replica.capacity * share * ramp));
     });
-    if (room.length === 0) return undefined;
+    if (withRoom.length === 0) return undefined;
+    const heard = withRoom.filter((replica) => !replica.quiet);
+    const room = this.inLane(wish, heard.length > 0 ? heard : withRoom, everyone);
     if (wish.prefix === "") return this.better(room);
     const mean = room.reduce((sum, replica) => sum + this.load(replica), 0) / room.length;
     const limit = Math.ceil((mean + 1) * Constants.boundedLoad);
@@ -145,6 +151,17 @@
     if (share < 1 && Hash.rendezvous(replica.key, senders).indexOf(this.self) >= Math.floor(perSecond)) return false;
     return now - this.of(replica).coldStartAt >= Math.min(interval, 1000);
   }
+  /** A prompt that will have to be read somewhere in the pool. @example chooser.saw("model", prompt, 300); */
+  saw(pool: string, prompt: Prompt, gapMs: number): void {
+    this.lanes.saw(pool, prompt, gapMs);
+  }
+  /** Live prompts keep to the replicas for their length; items of lots go anywhere. */
+  private inLane(wish: Wish, room: Replica[], everyone: Replica[]): Replica[] {
+    const { prompt, gapMs } = wish;
+    if (wish.lane === "lot" || !prompt || !gapMs) return room;
+    const ingresses = Math.max(1, wish.frame.members.filter((member) => member.program === "agent").length);
+    return this.lanes.preferred(wish.pool, room, everyone, PromptLanes.isLong(prompt, gapMs), ingresses);
+  }
   private better(room: Replica[]): Replica {
     const pick = (): Replica => room[Math.floor(this.env.random() * room.length)];
     const [left, right] = [pick(), pick()];
--- a/src/core/frame.ts
+++ b/src/core/frame.ts
@@ -4,6 +4,7 @@
 export type Replica = {
   key: string; id: string; instance: string; address: string; pool: string; district: string; version: string;
   capacity: number; active: number; waiting: number; bornAt: number;
+  quiet?: boolean; // not heard of for over two announcements: the last choice
   warmAt?: number; // wall ms; until then it is cold
   sequence?: number; // of the last announcement taken in
 };
--- a/src/core/node.ts
+++ b/src/core/node.ts
@@ -172,7 +172,9 @@
       number: (this.number += 1),
       control: this.news.frame,
       members: this.membership.alive(),
-      replicas: Node.newest(this.news.current("replica/").map((fact) => ({ key: fact.key, ...(fact.value as Omit<Replica, "key">) }))),
+      replicas: Node.newest(this.news.current("replica/").map((fact) => ({
+        key: fact.key, ...(fact.value as Omit<Replica, "key">), ...(this.news.versionAge(fact.key) > Constants.replicaQuietMs ? { quiet: true } : {}),
+      }))),
       crowded, fresh: this.inTouch(), vouched,
     };
     return this.cached;
--- /dev/null
+++ b/src/core/promptLanes.ts
@@ -0,0 +1,65 @@
+import { Constants } from "../constants";
+import { Env } from "../env/env";
+import { Replica } from "./frame";
+import { Hash } from "./hash";
+
+/** The parts of a prompt in order, as its caller told them. */
+export type Prompt = { parts: { id: string; tokens: number }[]; tokens: number };
+type Flow = { tokens: number; at: number };
+
+/**
+ * Long prompts keep to a few replicas of a pool, so that reading them does not hold up the pieces of the others.
+ * How many, each sender works out from the long prompts that it sees; which, all agree on without a word.
+ *
+ * @example
+ * const lanes = new PromptLanes(env);
+ * lanes.saw("model", prompt, gapMs);
+ * const preferred = lanes.preferred("model", room, everyone, PromptLanes.isLong(prompt, gapMs), 8);
+ */
+export class PromptLanes {
+  private readonly flows = new Map<string, Flow>();
+  constructor(private readonly env: Env) {}
+
+  /** @example PromptLanes.parse("5c1e:800,91bd:410").tokens // 1210 */
+  static parse(text: string): Prompt {
+    const parts = text.split(",").slice(0, Constants.promptPartsMax).flatMap((part) => {
+      const cut = part.lastIndexOf(":");
+      const tokens = Number(part.slice(cut + 1));
+      return cut > 0 && Number.isFinite(tokens) && tokens >= 0 ? [{ id: part.slice(0, cut).trim(), tokens }] : [];
+    });
+    return { parts, tokens: parts.reduce((sum, part) => sum + part.tokens, 0) };
+  }
+  /** Whether reading it whole would by itself take a good part of the pause that others bear. @example PromptLanes.isLong(prompt, 300) */
+  static isLong = (prompt: Prompt, gapMs: number): boolean =>
+    prompt.tokens / Constants.promptTokensPerMs > gapMs * Constants.longPromptShare;
+
+  /** A prompt goes out; the rate of long ones fades over some seconds. @example lanes.saw("model", prompt, 300) */
+  saw(pool: string, prompt: Prompt, gapMs: number): void {
+    if (!PromptLanes.isLong(prompt, gapMs)) return;
+    // its shared part is mostly kept already: what has to be read is the rest
+    const unread = prompt.tokens - Math.max(0, ...prompt.parts.slice(0, -1).map((part) => part.tokens)) / 2;
+    const now = this.env.mono();
+    const flow = this.flows.get(pool) ?? { tokens: 0, at: now };
+    flow.tokens = flow.tokens * Math.exp((flow.at - now) / Constants.laneFadeMs) + unread;
+    flow.at = now;
+    this.flows.set(pool, flow);
+  }
+  /** How many replicas of the pool are the long prompts' own. @example lanes.width("model", 13, 8) // 3 */
+  width(pool: string, replicas: number, ingresses: number): number {
+    const flow = this.flows.get(pool);
+    if (!flow || replicas < Constants.laneReplicasMin) return 0;
+    const faded = flow.tokens * Math.exp((flow.at - this.env.mono()) / Constants.laneFadeMs);
+    const readingShare = (faded * ingresses) / Constants.laneFadeMs / Constants.promptTokensPerMs;
+    if (readingShare < Constants.laneBusyShare / 20) return 0;
+    const wanted = Math.ceil(readingShare / Constants.laneBusyShare);
+    return wanted > replicas / 2 ? 0 : wanted;
+  }
+  /** Of those with room, the ones that a prompt of this length should go to; all, if there are none. @example lanes.preferred(...) */
+  preferred(pool: string, room: Replica[], everyone: Replica[], long: boolean, ingresses: number): Replica[] {
+    const width = this.width(pool, everyone.length, ingresses);
+    if (width === 0) return room;
+    const own = new Set(Hash.rendezvous(`long ${pool}`, everyone.map((replica) => replica.key)).slice(0, width));
+    const kept = room.filter((replica) => own.has(replica.key) === long);
+    return kept.length > 0 ? kept : room;
+  }
+}
--- a/src/ingress/directIntake.ts
+++ b/src/ingress/directIntake.ts
@@ -8,6 +8,7 @@
 import { Chooser, Wish } from "../core/chooser";
 import { Fault, Result } from "../core/fault";
 import { Replica } from "../core/frame";
+import { Prompt, PromptLanes } from "../core/promptLanes";
 import { Cause } from "../shard/shardState";
 import { Bound, BindingTable } from "./bindingTable";
 import type { IngressNode } from "./ingressNode";
@@ -15,7 +16,7 @@
 /** One request on its way: what came, and what of a stream has been passed on. */
 type Passing = {
   incoming: HttpIn; name: string; binding: Binding; direct: Direct; cause: Cause; untilMono: number; arrivedAt: number;
-  open: boolean; mayHaveRun: boolean; pool: string; prefix: string;
+  open: boolean; mayHaveRun: boolean; pool: string; prompt: Prompt;
 };
 type Outcome =
   | { tag: "replied"; status: number }
@@ -75,10 +76,12 @@
       method: incoming.method, target: incoming.target, headers: DirectHttp.endToEnd(headers), body,
       id: headers[names.requestId] ?? EnvTools.id(this.env, "req"), remainingMs: left, after: +after, order: Math.min(7, binding.order ?? 5),
     };
-    const prefix = binding.affinity ? (headers[names.promptParts] ?? "").split(",")[0] : "";
+    const prompt = PromptLanes.parse(binding.affinity ? headers[names.promptParts] ?? "" : "");
+    const pool = DirectIntake.poolOf(binding, this.env.random());
+    if (binding.kind === "stream" && binding.pieceGapMs) this.ingress.chooser.saw(pool, prompt, binding.pieceGapMs);
     return Fault.ok({
       incoming, name, binding, direct, cause: { manifest: this.ingress.frame().control!.manifest.version }, untilMono: arrivedAt + left,
-      arrivedAt, open: false, mayHaveRun: false, pool: DirectIntake.poolOf(binding, this.env.random()), prefix,
+      arrivedAt, open: false, mayHaveRun: false, pool, prompt,
     });
   }
   /** The pool by weight, for a number between 0 and 1. @example DirectIntake.poolOf(binding, 0.3) */
@@ -90,8 +93,9 @@
   }
 
   private wish(passing: Passing, exclude: Set<string>): Wish {
-    const { name, binding, pool, prefix } = passing;
-    return { frame: this.ingress.frame(), pool, binding: name, caller: "", kind: binding.kind, prefix, lane: "live", exclude };
+    const { name, binding, pool, prompt } = passing;
+    const gapMs = binding.kind === "stream" ? binding.pieceGapMs : undefined;
+    return { frame: this.ingress.frame(), pool, binding: name, caller: "", kind: binding.kind, prefix: prompt.parts[0]?.id ?? "", lane: "live", exclude, prompt, gapMs };
   }
   private *pass(passing: Passing): Task<void> {
     const { ingress } = this;
--- a/src/ingress/ingressNode.ts
+++ b/src/ingress/ingressNode.ts
@@ -21,6 +21,7 @@
 import { Cause } from "../shard/shardState";
 import { Putter } from "../store/putter";
 import { Rpc } from "../wire/rpc";
+import { Rehearsal } from "./rehearsal";
 import { Slab, Ticket } from "./slab";
 
 /* eslint-disable @typescript-eslint/no-explicit-any */
@@ -50,6 +51,7 @@
   readonly slab = new Slab<Result<Reply>>(Constants.slabSlots);
   stopping = false;
   inFlight = 0;
+  private rehearsed = false;
   readonly counts = { lookups: 0, streams: 0, lots: 0, busies: 0, failures: 0, resumes: 0, notes_lost: 0, stale: 0 };
   private constructor(
     readonly env: Env,
@@ -82,6 +84,7 @@
     };
     const routes = [
       ...CallerHttp.routes(ingress),
+      ...Rehearsal.routes(ingress.names),
       ...OperatorHttp.routes(host, { ready: () => ingress.unready(), metrics: () => ingress.metrics(), ledgerSource: ingress.putter }),
     ];
     const direct = new DirectIntake(ingress);
@@ -93,6 +96,10 @@
       const served = yield* env.serveHttp(surface.address, (incoming) => ingress.tracked(() => surface.serve(incoming)));
       if (!served.ok) return served;
     }
+    Csp.go(env.scope, "rehearse", function* () {
+      yield* Rehearsal.run(env, ingress.names, settings.http);
+      ingress.rehearsed = true;
+    });
     env.log(1001, { program: "ingress", id: ingress.id, http: settings.http });
     return Fault.ok(ingress);
   }
@@ -131,6 +138,7 @@
   unready(): string | undefined {
     if (this.stopping) return "stopping";
     if (!this.current.control) return "no manifest yet";
+    if (!this.rehearsed) return "rehearsing";
     if ((!this.node && this.env.mono() - this.fedAt > Constants.frameStaleMs) || !this.current.fresh) return "no fresh frame";
     if (!this.current.vouched) return "clock not vouched for";
     return undefined;
--- /dev/null
+++ b/src/ingress/rehearsal.ts
@@ -0,0 +1,55 @@
+import { Constants } from "../constants";
+import { Csp, Task } from "../csp/csp";
+import { Env, EnvTools, HttpIn } from "../env/env";
+import { DirectHttp } from "../adapters/directHttp";
+import { EventPieces } from "../adapters/eventPieces";
+import { HeaderNames } from "../adapters/headerNames";
+import { Route } from "../adapters/http";
+import { Replica } from "../core/frame";
+
+const path = "/v1/rehearsal";
+const event = (n: number): string => `id: ${n}\ndata: ${"rehearsal ".repeat(10)}\n\n`;
+
+/**
+ * Before an ingress says that it is ready, it passes some requests to itself over its own address: what runs for
+ * the first time runs many times slower, and that would fall on the first callers after a start.
+ *
+ * @example
+ * yield* Rehearsal.run(env, names, "10.0.0.5:7661");
+ */
+export const Rehearsal = {
+  /** What answers the rehearsed requests: a stream of a few events, under the id asked. @example Rehearsal.routes(names) */
+  routes: (names: HeaderNames): Route[] => [{
+    method: "POST", path: new RegExp(`^${path}$`),
+    *run(incoming: HttpIn) {
+      const read = yield* incoming.body(Constants.bodyLimitBytes);
+      if (!read.ok) return;
+      incoming.open(200, { "content-type": "text/event-stream", [names.requestId]: incoming.headers[names.requestId] ?? "" });
+      for (let n = 1; n <= 4; n += 1) incoming.write(event(n));
+      incoming.end();
+    },
+  }],
+  /** @example yield* Rehearsal.run(env, names, address) */
+  *run(env: Env, names: HeaderNames, address: string): Task<void> {
+    const until = env.mono() + Constants.rehearsalMs;
+    const self: Replica = { key: "rehearsal", id: "rehearsal", instance: "rehearsal", address, pool: "", district: "", version: "", capacity: 1, active: 0, waiting: 0, bornAt: 0 };
+    const one = function* (id: string): Task<boolean> {
+      const direct = { method: "POST", target: path, headers: { host: "rehearsal" }, body: Buffer.alloc(1400), id, remainingMs: 500, after: 0, order: 5 };
+      const opened = yield* DirectHttp.open(env, names, self, direct, 500);
+      if (!opened.ok) return false;
+      const pieces = new EventPieces(env, self.id, opened.value.reply, 0);
+      for (;;) {
+        const got = yield* pieces.next(500);
+        if (!got.ok || got.value === undefined) return got.ok;
+      }
+    };
+    const lanes = 8;
+    const finished = Csp.chan<true>(lanes);
+    for (let lane = 0; lane < lanes; lane += 1)
+      Csp.go(env.scope, "rehearsal", function* () {
+        for (let n = lane; n < Constants.rehearsalRequests && env.mono() < until; n += lanes) if (!(yield* one(`rehearsal-${n}`))) break;
+        Csp.offer(finished, true);
+      });
+    for (let lane = 0; lane < lanes; lane += 1) yield* EnvTools.takeWithin(env, finished, until - env.mono());
+  },
+};
