Items of lots run on through a change of view that leaves their lead

Now only the start of an item asks for the duty; what runs goes on while no other store is known to lead, for 3 s, and its result is put with whoever leads. Not measured again yet.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -160,6 +160,7 @@
   lotBodiesKeepMs: 10_000, // ms; a closed lot's bodies are still given to whoever has not heard of its last results
   lotGiveUpMarginMs: 1000, // ms; an item is given up so much later than it may be: clocks differ
   lotListBytes: 700_000, // bytes; of results in one listing, so that it stays under 1 MB as JSON
+  lotRegainMs: 3000, // ms; items run on so long after their lead lost its duty: it mostly has it back within a few ms
   lotHoldMs: 3000, // ms; a lot waits so long for its shard's lead to be found: past a takeover
   lotRoundMs: 1500, // ms; one ask to take a lot in: past a put that waits for a member to be left out
   lotReadMs: 2000, // ms; a listing is looked for so long at all members, beyond what its caller would wait
--- a/src/store/itemRuns.ts
+++ b/src/store/itemRuns.ts
@@ -20,6 +20,7 @@
   later: number[]; // items to be tried again, each not before its time
   progress: Map<number, Progress>;
   running: Map<number, HttpReply | undefined>; // from the choice of a replica until the result is put
+  lostAt: number; // since when we don't lead its shard; Infinity while we do
 };
 type Round =
   | { tag: "done"; result: string }
@@ -73,18 +74,22 @@
   opened(copy: ShardCopy, id: string): void {
     const lot = copy.data.lots.get(id);
     const epoch = copy.view?.epoch ?? 0;
-    if (!lot?.requests || lot.open === 0 || lot.ended || this.open.get(id)?.epoch === epoch) return;
-    const ready = lot.items.flatMap((item, at) => (item.state === "waiting" ? [at] : []));
-    this.open.set(id, { id, copy, epoch, ready, later: [], progress: new Map(), running: new Map() });
+    const known = this.open.get(id);
+    if (!lot?.requests || lot.open === 0 || lot.ended || known?.epoch === epoch) return;
+    const open: OpenLot = known ?? { id, copy, epoch, ready: [], later: [], progress: new Map(), running: new Map(), lostAt: Infinity };
+    // what we began before a change of view goes on
+    const begun = (item: number): boolean => open.running.has(item) || open.later.includes(item);
+    open.ready = lot.items.flatMap((item, at) => (item.state === "waiting" && !begun(at) ? [at] : []));
+    this.open.set(id, Object.assign(open, { epoch, lostAt: Infinity }));
     Csp.offer(this.wake, true);
   }
   /** @example runs.leadStarted(copy); */
   leadStarted(copy: ShardCopy): void {
     for (const lot of copy.data.lots.values()) this.opened(copy, lot.id);
   }
-  /** @example runs.leadStopped(copy); */
+  /** Nothing starts from now on; what runs goes on for a while, since most changes of view leave the lead. @example runs.leadStopped(copy); */
   leadStopped(copy: ShardCopy): void {
-    for (const open of this.open.values()) if (open.copy === copy) this.breakOff(open);
+    for (const open of this.open.values()) if (open.copy === copy) open.lostAt = Math.min(open.lostAt, this.env.mono());
   }
   /** A lot was ended: what runs of it is broken off. @example runs.ended("lot-17"); */
   ended(id: string): void {
@@ -100,6 +105,12 @@
     }
     Csp.offer(this.wake, true);
   }
+  /** Whether what runs of a lot may go on: it is not ended, and no other store is known to lead it. */
+  private goesOn(open: OpenLot): boolean {
+    const lot = open.copy.data.lots.get(open.id);
+    const led = open.copy.view?.lead === this.node.self.id && this.env.mono() - open.lostAt < Constants.lotRegainMs;
+    return !!lot && lot.open > 0 && !lot.ended && led && this.open.get(open.id) === open;
+  }
   /** The lot, as long as it is ours to run. */
   private ours(open: OpenLot): Lot | undefined {
     const lot = open.copy.data.lots.get(open.id);
@@ -125,9 +136,9 @@
     const now = this.env.mono();
     const lots: { open: OpenLot; lot: Lot; dueInMs: number }[] = [];
     for (const open of [...this.open.values()]) {
-      const lot = open.copy.data.lots.get(open.id);
-      if (!lot || lot.open === 0 || lot.ended) this.breakOff(open);
-      else if (this.ours(open)) lots.push({ open, lot, dueInMs: this.dueInMs(lot) });
+      const lot = this.ours(open);
+      if (!this.goesOn(open)) this.breakOff(open);
+      else if (lot) lots.push({ open, lot, dueInMs: this.dueInMs(lot) });
     }
     // the one due soonest first; what is late already has lost most of its worth and comes last
     const late = ({ dueInMs }: { dueInMs: number }): number => (dueInMs > 0 ? 0 : 1);
@@ -187,6 +198,7 @@
         return;
       }
       const item = open.ready.shift()!;
+      if (lot.items[item].state !== "waiting") continue; // another lead has put its result meanwhile
       const most = Math.ceil((window / Math.max(1, replicas.length)) * Constants.boundedLoad) + 1;
       const exclude = new Set(replicas.filter(({ key }) => (this.atReplica.get(key) ?? 0) >= most).map(({ key }) => key));
       const avoid = open.progress.get(item)?.avoid;
@@ -240,9 +252,9 @@
     }, Constants.lotHeadMs);
     if (!opened.ok) {
       this.chooser.end(replica, opened.fault.tag === "refused" && opened.fault.step === "deliver");
-      return this.ours(open) ? { tag: "again", why: opened.fault.detail } : { tag: "over" };
+      return this.goesOn(open) ? { tag: "again", why: opened.fault.detail } : { tag: "over" };
     }
-    if (!this.ours(open)) {
+    if (!this.goesOn(open)) {
       opened.value.reply.abort();
       this.chooser.end(replica, true);
       return { tag: "over" };
@@ -251,8 +263,8 @@
     open.running.set(item, opened.value.reply);
     const round = yield* this.read(open, item, replica, opened.value);
     this.env.point(58);
-    this.chooser.end(replica, round.tag !== "again" || !this.ours(open));
-    return this.ours(open) || round.tag === "done" ? round : { tag: "over" };
+    this.chooser.end(replica, round.tag !== "again" || !this.goesOn(open));
+    return this.goesOn(open) || round.tag === "done" ? round : { tag: "over" };
   }
   private *read(open: OpenLot, item: number, replica: Replica, opened: DirectReply): Task<Round> {
     const { status, headers, reply } = opened;
@@ -353,7 +365,7 @@
         lot.running.delete(outcome.item);
         lot.progress.delete(outcome.item);
         // whoever leads now has them, or runs them anew; if we still do, they are put again
-        if (!put && this.ours(lot)) this.finish(lot, outcome, "put again");
+        if (!put && this.goesOn(lot)) this.finish(lot, outcome, "put again");
       }
     }
   }
