Frames are fetched without a manifest that is known; retirement, drains and patches on the command line

Every change of a view made each node fetch the whole frame, of which the manifest is by far the largest part; it is left out where the asker has that version. A retirement asked of a lead that was just chosen and doesn't know every store yet is busy, not refused: an operator takes 404 and 409 for final. Ended calendar entries are bounded at 1000.

--- a/src/cli/operatorCommands.ts
+++ b/src/cli/operatorCommands.ts
@@ -98,16 +98,19 @@
         process.exitCode = 2;
       });
     }
+    change("manifest patch <file>", "Changes a manifest item by item: { version?, upsert, remove }.").action((name: string, options: any) =>
+      changing(options, "PATCH", "/v1/manifest", file(name), version(options)));
     command("calendar list", "Lists the moves.").action((options: any) =>
       reading(options, "/v1/calendar", (body) => body.entries.forEach((entry: any) => print(`${entry.id}  due ${new Date(entry.due).toISOString()}  ${entry.move.kind}  ${entry.fate}${entry.detail ? `: ${entry.detail}` : ""}`))));
     change("calendar put <id> <file>", "Pencils a move: { due, move }.").action((id: string, name: string, options: any) => changing(options, "PUT", `/v1/calendar/${id}`, file(name), version(options)));
     change("calendar remove <id>", "Takes a move out that has not started.").action((id: string, options: any) => changing(options, "DELETE", `/v1/calendar/${id}`, undefined, version(options)));
-    change("drain <district>", "Drains a district now (a calendar entry due now).").action((district: string, options: any) =>
-      changing(options, "PUT", `/v1/calendar/drain-${district}-${Date.now()}`, { due: "now", move: { kind: "drain", district } }, 0));
-    change("undrain <district>", "Lets work land in a district again.").action((district: string, options: any) =>
-      changing(options, "PUT", `/v1/calendar/undrain-${district}-${Date.now()}`, { due: "now", move: { kind: "undrain", district } }, 0));
-    change("retire <store>", "Moves a store's copies off it, so that it can go.").action((store: string, options: any) =>
-      changing(options, "PUT", `/v1/calendar/retire-${store}-${Date.now()}`, { due: "now", move: { kind: "retire", store } }, 0));
+    const order = (usage: string, help: string, method: string, path: (what: string) => string): Sade =>
+      change(usage, help).action((what: string, options: any) => changing(options, method, path(encodeURIComponent(what)), undefined, 0));
+    order("drain <district>", "Drains a district: in force once it is acknowledged.", "POST", (district) => `/v1/districts/${district}/drain`);
+    order("undrain <district>", "Lets work land in a district again.", "DELETE", (district) => `/v1/districts/${district}/drain`);
+    order("retire <store>", "Moves a store's copies off it, so that it can go; by its id or its machine's name.", "POST", (store) => `/v1/stores/${store}/retirement`);
+    command("retirement <store>", "How far a store's retirement has come.").action((store: string, options: any) =>
+      reading(options, `/v1/stores/${encodeURIComponent(store)}/retirement`, (body) => print(`${body.id}  ${body.fate}${body.detail ? `: ${body.detail}` : ""}`)));
     change("release <pool> <version>", "Gives new work to a version of a pool.").option("--over", "Milliseconds over which its share grows", 0).action((pool: string, released: string, options: any) =>
       changing(options, "PUT", `/v1/calendar/release-${pool}-${Date.now()}`, { due: "now", move: { kind: "release", pool, version: String(released), overMs: Number(options.over) } }, 0));
     command("recover <group> <voter>", "Goes on from the one control voter that is left, after the others lost their disks.")
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -57,6 +57,7 @@
   losses: 1, // machines; lost at once, where settings don't say: three voters, so that a cut in two of four leaves two of three on one side
   groupGrowMs: 4000, // ms; a founded group that is short of voters takes no first change for so long
   foundRetryMs: 300, // ms; founders ask each other again
+  movesKept: 1000, // calendar entries; of those that have ended: the ledger tells of older ones
   changesKept: 2000, // change outcomes; asked after by change id
   standbyLagMax: 20, // entries; a standby this close may become a voter
 
--- a/src/control/controlNode.ts
+++ b/src/control/controlNode.ts
@@ -270,10 +270,14 @@
   private *retire(body: { changeId: string; store: string; by: string }): Task<Result<{ version: number }>> {
     const stores = this.node.membership.all().filter((member) => member.program === "store" && (member.id === body.store || member.name === body.store));
     const store = stores.find((member) => member.state === "alive" || member.state === "suspect") ?? stores[0];
-    if (!store) return Fault.fail("notFound", "retire", this.node.self.id, `no store ${body.store}`);
     const needed = this.views.copiesWanted;
-    const staying = this.views.knownWithout(store);
-    if (!this.group.state.retiring.includes(store.id) && staying < needed)
+    const staying = store ? this.views.knownWithout(store) : 0;
+    const again = store !== undefined && this.group.state.retiring.includes(store.id);
+    // a lead that was just chosen may not have heard of every store yet
+    if (!again && (!store || staying < needed) && this.env.mono() - this.group.leadSince < Constants.voterGoneMs)
+      return Fault.busy("retire", this.node.self.id, "the stores are not all known here yet", Constants.retryAfterMs);
+    if (!store) return Fault.fail("notFound", "retire", this.node.self.id, `no store ${body.store}`);
+    if (!again && staying < needed)
       return Fault.fail("conflict", "retire", this.node.self.id, `too few stores would stay: ${staying}, needed ${needed}`);
     return yield* this.change({ tag: "retire", changeId: body.changeId, store: store.id, name: body.store, by: body.by, at: this.env.wall() });
   }
--- a/src/control/controlState.ts
+++ b/src/control/controlState.ts
@@ -99,6 +99,13 @@
   state.untold.push({ index, subject, decision, cause });
 };
 
+/** The calendar with one more entry; of those that have ended, only so many are kept. */
+function entered(state: ControlState, entry: CalendarEntry): Record<string, CalendarEntry> {
+  const calendar = { ...state.calendar, [entry.id]: entry };
+  const ended = Object.values(calendar).filter(({ fate }) => fate === "finished" || fate === "failed" || fate === "removed");
+  for (const old of ended.slice(0, Math.max(0, ended.length - Constants.movesKept))) delete calendar[old.id];
+  return calendar;
+}
 type Change = { changeId: string; by: string };
 /** What a change came to, remembered by its id for whoever asks again. */
 function settle(state: ControlState, index: number, command: Change, subject: string, outcome: Outcome, told: string): Outcome {
@@ -141,13 +148,12 @@
   const others = state.drained.filter((each) => each !== district);
   state.drained = tag === "drain" ? [...others, district] : others;
   const id = `${tag}-${district}-${index}`;
-  const calendar = { ...state.calendar };
   if (tag === "undrain")
-    for (const entry of Object.values(calendar))
+    for (const entry of Object.values(state.calendar))
       if (entry.fate === "started" && entry.move.kind === "drain" && entry.move.district === district)
-        calendar[entry.id] = { ...entry, fate: "finished", detail: `taken back by ${id}`, version: entry.version + 1 };
-  calendar[id] = { id, due: command.at, version: 1, fate: tag === "drain" ? "started" : "finished", move: { kind: tag, district } };
-  state.calendar = calendar;
+        state.calendar = entered(state, { ...entry, fate: "finished", detail: `taken back by ${id}`, version: entry.version + 1 });
+  const fate = tag === "drain" ? "started" : "finished";
+  state.calendar = entered(state, { id, due: command.at, version: 1, fate, move: { kind: tag, district } });
   return settle(state, index, command, `move ${id}`, { tag: "done", version: index }, `${tag} in force`);
 }
 /** A store's retirement, started by one word; said again, it is the same one. */
@@ -158,7 +164,7 @@
   const id = `retire-${command.name}-${index}`;
   state.retiring = [...state.retiring, command.store];
   const move: Move = { kind: "retire", store: command.store, name: command.name };
-  state.calendar = { ...state.calendar, [id]: { id, due: command.at, version: 1, fate: "started", move } };
+  state.calendar = entered(state, { id, due: command.at, version: 1, fate: "started", move });
   return settle(state, index, command, `move ${id}`, { tag: "done", version: index }, `retire ${command.store} started`);
 }
 
@@ -251,7 +257,7 @@
         return { tag: "refused", detail: `move is ${entry.fate}` };
       return change(state, index, command, `move ${command.id}`, entry?.version ?? 0, () => {
         const version = (entry?.version ?? 0) + 1;
-        state.calendar = { ...state.calendar, [command.id]: { id: command.id, due: command.due, version, fate: "pencilled", move: command.move } };
+        state.calendar = entered(state, { id: command.id, due: command.due, version, fate: "pencilled", move: command.move });
         return version;
       });
     }
--- a/src/control/group.ts
+++ b/src/control/group.ts
@@ -109,7 +109,7 @@
     this.rpc.handle("group.vote", (body) => this.onVote(body));
     this.rpc.handle("group.append", (body) => this.onAppend(body));
     this.heardAt = this.env.mono(); // a restarted voter grants nothing for one grant time
-    this.setElection();
+    this.setElection(Constants.electionMinMs, Constants.electionAgainMs); // where all were started together, nobody leads
     EnvTools.keep(this.env, this.env.scope, "election", () => this.electionLoop());
     EnvTools.keep(this.env, this.env.scope, "log writer", () => this.writeLoop());
   }
@@ -207,8 +207,8 @@
     return this.lag(id) <= Constants.standbyLagMax;
   }
 
-  private setElection(leastMs: number = Constants.electionMinMs): void {
-    this.nextElection = this.env.mono() + leastMs + this.env.random() * Constants.electionSpreadMs;
+  private setElection(leastMs: number = Constants.electionMinMs, spreadMs: number = Constants.electionSpreadMs): void {
+    this.nextElection = this.env.mono() + leastMs + this.env.random() * spreadMs;
   }
   private *note(records: Noted[]): Task<Result<true>> {
     return yield* this.slots.append(records);
--- a/src/control/views.ts
+++ b/src/control/views.ts
@@ -95,7 +95,7 @@
   /** Named by a retirement: by its id, or, while the retirement lasts, by its machine's name (an emptied machine has a new id). */
   private isRetiring(id: string): boolean {
     const { retiring, calendar } = this.group.state;
-    if (retiring.includes(id)) return true;
+    if (retiring.length === 0 || retiring.includes(id)) return retiring.length > 0;
     const machine = this.node.membership.find(id)?.name;
     return machine !== undefined && Object.values(calendar).some(({ move, fate }) => move.kind === "retire" && fate === "started" && move.name === machine);
   }
--- a/src/membership/news.ts
+++ b/src/membership/news.ts
@@ -1,7 +1,7 @@
 import { Constants } from "../constants";
 import { Chan, Csp, Task } from "../csp/csp";
 import { Env, EnvTools } from "../env/env";
-import { Fault } from "../core/fault";
+import { Fault, Result } from "../core/fault";
 import { Rpc } from "../wire/rpc";
 import { ControlFrame, ControlState } from "../control/controlState";
 import { Membership } from "./membership";
@@ -9,6 +9,8 @@
 /** One fact with an owner and a version; no value means it has ended for good. */
 export type Fact = { key: string; owner: string; version: number; value: unknown; gone: boolean };
 type Held = Fact & { heardAt: number; grantMs: number };
+type Have = { have: number; group: string; manifest: number };
+type FrameTold = Omit<ControlFrame, "manifest"> & { manifest?: ControlFrame["manifest"] };
 /** A fact on its way carries its age, so that passing it on never makes it younger. */
 type Told = Fact & { grantMs: number; ageMs: number };
 
@@ -197,8 +199,12 @@
     if (index <= (this.frame?.index ?? 0) || this.fetching) return;
     this.fetching = true;
     try {
-      const fetched = yield* this.rpc.ask<ControlFrame>(address, "frame.fetch", { have: this.frame?.index ?? 0 }, 1500);
-      if (fetched.ok && fetched.value) this.offerFrame(fetched.value);
+      const known = this.frame;
+      const have: Have = { have: known?.index ?? 0, group: known?.group ?? "", manifest: known?.manifest.version ?? -1 };
+      const fetched = yield* this.rpc.ask<FrameTold | null>(address, "frame.fetch", have, 1500);
+      if (!fetched.ok || !fetched.value) return;
+      const manifest = fetched.value.manifest ?? known?.manifest;
+      if (manifest) this.offerFrame({ ...fetched.value, manifest });
     } finally {
       this.fetching = false;
     }
@@ -227,7 +233,11 @@
     }
     return Fault.ok({ facts, want, frameIndex: this.frame?.index ?? 0 });
   }
-  private *fetched(body: { have: number }): Task<ReturnType<typeof Fault.ok>> {
-    return Fault.ok(this.frame && this.frame.index > body.have ? this.frame : null);
+  /** The frame, if ours is newer; without its manifest, by far the largest part, where the asker has that. */
+  private *fetched(body: Have): Task<Result<FrameTold | null>> {
+    if (!this.frame || this.frame.index <= body.have) return Fault.ok(null);
+    const { manifest, ...rest } = this.frame;
+    const theirs = rest.group === body.group && manifest.version === body.manifest;
+    return Fault.ok(theirs ? rest : this.frame);
   }
 }
--- a/test/control.test.ts
+++ b/test/control.test.ts
@@ -78,6 +78,7 @@
       const name = round % 2 === 0 ? fleet.lead()! : living.find((each) => each !== fleet.lead())!;
       fleet.kill(name, true);
       fleet.settings.delete(name);
+      fleet.reseed(round);
       fleet.add(fleet.names("control")[0], `control-${10 + round}`);
       const took = await fleet.until(() => whole(fleet, 3), 8000);
       expect(took).toBeLessThan(5000);
@@ -97,7 +98,7 @@
         fleet.restart(name, { moved: true, seeds });
         if (seeds.length < 3) seeds.push(fleet.settings.get(name)!.address);
       }
-      expect(await fleet.until(() => fleet.lead() !== undefined, 5000)).toBeLessThan(2500);
+      expect(await fleet.until(() => fleet.lead() !== undefined, 5000)).toBeLessThan(2000);
       expect(await inForce(fleet)).toBe(5);
       expect(fleet.close()).toEqual([]);
     }
--- a/test/controlFleet.ts
+++ b/test/controlFleet.ts
@@ -99,6 +99,12 @@
     this.settings.set(name, { ...settings, ...founders, ...this.place(), name, data: `data/${name}`, ...(district ? { district } : {}) });
     this.start(name);
   }
+  /** Settings files name living machines, three of them from the given one on, as the operator's list has them. @example fleet.reseed(); */
+  reseed(start = 0): void {
+    const addresses = this.names("control").map((name) => this.settings.get(name)!.address);
+    const seeds = [0, 1, 2].map((at) => addresses[(start + at) % addresses.length]);
+    for (const settings of this.settings.values()) settings.seeds?.splice(0, settings.seeds.length, ...seeds);
+  }
   /** @example fleet.control("control-1")?.group.holdsLead() */
   control = (name: string): ControlNode | undefined => this.running.get(name) as unknown as ControlNode | undefined;
   /** @example fleet.lead() // "control-2", or undefined */
--- a/test/controlHunt.ts
+++ b/test/controlHunt.ts
@@ -158,18 +158,10 @@
       fleet.settings.delete(name);
       fleet.add(fleet.names("control")[0], `control-${10 + (this.added += 1)}`);
     } else fleet.restart(name, { empty: kind.startsWith("wipe"), moved: kind === "power" && this.random() < 0.3 });
-    this.reseed();
+    fleet.reseed(Math.floor(this.random() * 9));
     window.to = world.now;
     await fleet.run(bounds.syncMs + this.random() * 3000);
   }
-  /** Settings files name living machines, as the operator's list has them. */
-  private reseed(): void {
-    const { fleet } = this;
-    const addresses = fleet.names("control").map((name) => fleet.settings.get(name)!.address);
-    const start = Math.floor(this.random() * addresses.length);
-    const seeds = [0, 1, 2].map((at) => addresses[(start + at) % addresses.length]);
-    for (const settings of fleet.settings.values()) settings.seeds?.splice(0, settings.seeds.length, ...seeds);
-  }
   /** The end of the day: as many as may be lost lose their disks, the others lose power. */
   private async close(): Promise<number> {
     const { fleet } = this;
