The member that remembers most levels a joiner; a lead's word counts in the view it was said in

And a lead's call for a view, heard as it was sealed for one, was answered by another view. Ruled out: a fill that is not finished (the joiner's log ended where the lead had filled it).

--- a/src/control/views.ts
+++ b/src/control/views.ts
@@ -8,7 +8,7 @@
 import { View } from "./controlState";
 import { Group } from "./group";
 
-type Sealed = { tag: "sealed"; seq: number; lastEpoch: number; grantLeftMs: number } | { tag: "stopped" };
+type Sealed = { tag: "sealed"; seq: number; lastEpoch: number; tailFrom: number; grantLeftMs: number } | { tag: "stopped" };
 type StoreStatus = { shards: CopyStatus[]; stopping: boolean; vouches: boolean; heardAt: number };
 
 /**
@@ -169,7 +169,8 @@
     else if (broken.length > 0) reason = `disk failed at ${broken.join(", ")}`;
     else if (leaving.length > 0) reason = `members leaving: ${leaving.join(", ")}`;
     else if (failing.length > 0) reason = `members not syncing: ${failing.join(", ")}`;
-    else if (leadUp && leadCopy && leadCopy.wantsView) reason = `lead asks: ${leadCopy.wantsView}`;
+    // what it said in an earlier view has been seen to
+    else if (leadUp && leadCopy?.epoch === view.epoch && leadCopy.wantsView) reason = `lead asks: ${leadCopy.wantsView}`;
     else if (sealedAhead) reason = "an earlier change of view was not finished";
     else if (troubledFor > 1500) reason = unvouched ? "lead's clock is not vouched for" : "lead does not lead";
     if (reason) return act("new view of", () => this.reconfigure(shard, reason, []));
@@ -256,7 +257,8 @@
       return false;
     }
     this.waitingSaid.delete(shard);
-    const [longest] = sealed.sort((left, right) => right.lastEpoch - left.lastEpoch || right.seq - left.seq);
+    // of equal logs the one that remembers most entries: it can bring up whoever another could
+    const [longest] = sealed.sort((left, right) => right.lastEpoch - left.lastEpoch || right.seq - left.seq || left.tailFrom - right.tailFrom);
     // with their addresses: a store may not have heard yet of a machine that was just added
     const targets = [...sealed.slice(1).map((copy) => copy.id), ...joiners].flatMap((id) => {
       const address = this.node.addressOf(id);
@@ -274,7 +276,7 @@
     const stages = { silentMs, sealMs: Math.round(sealedAt - startedAt), levelMs: Math.round(levelledAt - sealedAt), grantWaitMs: waitMs };
     const told = `${reason} (silent ${silentMs}, sealed in ${stages.sealMs}, levelled in ${stages.levelMs}, former grant waited for ${waitMs} ms)`;
     const done = yield* this.propose({ shard, epoch, ...next }, told, waitMs, joiners.filter((id) => next.members.includes(id)));
-    if (done) this.env.log(1415, { shard, epoch, stages: { ...stages, commitMs: Math.round(this.env.mono() - levelledAt) } });
+    if (done) this.env.log(1415, { shard, epoch, reason, joiners, members: next.members, stages: { ...stages, commitMs: Math.round(this.env.mono() - levelledAt) } });
     return done;
   }
   /** Members and lead of the next view, out of those that stand at the sealed end. */
--- a/src/shard/shardCopy.ts
+++ b/src/shard/shardCopy.ts
@@ -282,7 +282,7 @@
       copy.applyAll();
       copy.env.point(43);
       return Fault.ok({
-        tag: "sealed", seq: copy.seq, lastEpoch: copy.lastEpoch,
+        tag: "sealed", seq: copy.seq, lastEpoch: copy.lastEpoch, tailFrom: copy.tail[0]?.seq ?? copy.seq + 1,
         grantLeftMs: Math.max(0, copy.grantedUntil - copy.env.mono()),
       });
     });
--- a/test/lotWorld.ts
+++ b/test/lotWorld.ts
@@ -42,11 +42,12 @@
   private constructor(
     seed: number,
     readonly size: { stores: number; replicas: number; events: number; slots: number },
+    log: (line: string) => void,
   ) {
-    this.world = new SimWorld(seed);
+    this.world = new SimWorld(seed, log);
   }
-  static async start(seed: number, size: Partial<LotWorld["size"]> = {}, binding: Partial<Binding> = {}): Promise<LotWorld> {
-    const lots = new LotWorld(seed, { stores: 3, replicas: 2, events: 4, slots: 8, ...size });
+  static async start(seed: number, size: Partial<LotWorld["size"]> = {}, binding: Partial<Binding> = {}, log: (line: string) => void = () => undefined): Promise<LotWorld> {
+    const lots = new LotWorld(seed, { stores: 3, replicas: 2, events: 4, slots: 8, ...size }, log);
     lots.process("control-1", { program: "control", address: seeds[0], founders: seeds, data: "data/control-1" });
     for (let at = 1; at <= lots.size.stores; at += 1) lots.startStore(`store-${at}`);
     await lots.startCaller();
@@ -164,5 +165,8 @@
   freeze(name: string): void {
     this.world.processes.get(name)!.freeze();
   }
+  wake(name: string): void {
+    this.world.processes.get(name)!.wake();
+  }
   errors = (): string[] => [...this.world.processes.values()].flatMap((process) => process.errors);
 }
