--- a/src/core/hash.ts
+++ b/src/core/hash.ts
@@ -1,4 +1,4 @@
-import { createHash } from "crypto";
+import { NodeLibs } from "../env/nodeLibs";
 
 /**
  * Hashes for placement and digests.
@@ -17,7 +17,7 @@
     hash = Math.imul(hash, 0xc2b2ae35);
     return (hash ^ (hash >>> 16)) >>> 0;
   },
-  text: (text: string): string => createHash("sha256").update(text).digest("hex").slice(0, 24),
+  text: (text: string): string => NodeLibs.crypto().createHash("sha256").update(text).digest("hex").slice(0, 24),
   /** Highest random weight first. @example Hash.rendezvous("k", ["a", "b"])[0] */
   rendezvous: (key: string, names: string[]): string[] =>
     names
--- a/src/env/nodeEnv.ts
+++ b/src/env/nodeEnv.ts
@@ -1,12 +1,11 @@
-import * as dgram from "dgram";
 import * as fs from "fs";
-import * as http from "http";
-import * as net from "net";
+import type * as http from "http";
+import type * as net from "net";
 import * as path from "path";
-import { randomBytes } from "crypto";
 import { Constants } from "../constants";
 import { Chan, Csp, Scope, Task } from "../csp/csp";
 import { Fault, Result } from "../core/fault";
+import { NodeLibs } from "./nodeLibs";
 import { DatagramSocket, Disk, Env, HttpIn, HttpReply, Link } from "./env";
 
 const parts = (address: string): { host: string; port: number } => {
@@ -185,23 +184,26 @@
   }
 };
 
+let sharedAgent: http.Agent | undefined;
 /** Connections to replicas are kept for less time than the replica says, so that none is used as it closes. */
-class PatientAgent extends http.Agent {
-  keepSocketAlive(socket: net.Socket & { _httpMessage?: { res?: http.IncomingMessage } }): boolean {
-    const told = /timeout=(\d+)/.exec(String(socket._httpMessage?.res?.headers["keep-alive"] ?? ""))?.[1];
-    const keptMs = told === undefined ? Constants.idleConnectionMs : Math.min(Constants.idleConnectionMs, +told * 500);
-    if (keptMs <= 0) return false;
-    socket.setKeepAlive(true, 1000);
-    socket.unref();
-    socket.setTimeout(keptMs);
-    return true;
-  }
-  reuseSocket(socket: net.Socket, request: http.ClientRequest): void {
-    socket.setTimeout(0);
-    super.reuseSocket(socket, request);
+function patientAgent(): http.Agent {
+  class PatientAgent extends NodeLibs.http().Agent {
+    keepSocketAlive(socket: net.Socket & { _httpMessage?: { res?: http.IncomingMessage } }): boolean {
+      const told = /timeout=(\d+)/.exec(String(socket._httpMessage?.res?.headers["keep-alive"] ?? ""))?.[1];
+      const keptMs = told === undefined ? Constants.idleConnectionMs : Math.min(Constants.idleConnectionMs, +told * 500);
+      if (keptMs <= 0) return false;
+      socket.setKeepAlive(true, 1000);
+      socket.unref();
+      socket.setTimeout(keptMs);
+      return true;
+    }
+    reuseSocket(socket: net.Socket, request: http.ClientRequest): void {
+      socket.setTimeout(0);
+      super.reuseSocket(socket, request);
+    }
   }
+  return (sharedAgent ??= new PatientAgent({ keepAlive: true, maxSockets: 512, maxFreeSockets: 24 }));
 }
-const agent = new PatientAgent({ keepAlive: true, maxSockets: 512, maxFreeSockets: 24 });
 
 /**
  * The environment of production: Node's clocks, sockets and files.
@@ -219,7 +221,7 @@
       disk: diskOf(name),
       wall: () => Date.now(),
       mono: () => performance.now(),
-      random: () => randomBytes(6).readUIntBE(0, 6) / 2 ** 48,
+      random: () => NodeLibs.crypto().randomBytes(6).readUIntBE(0, 6) / 2 ** 48,
       timer(ms) {
         const chan = Csp.chan<never>(1);
         const handle = setTimeout(() => {
@@ -235,7 +237,7 @@
       },
       *listen(address) {
         const links = Csp.chan<Link>(256);
-        const server = net.createServer((socket) => {
+        const server = NodeLibs.net().createServer((socket) => {
           if (!Csp.offer(links, linkOf(socket, `${socket.remoteAddress}:${socket.remotePort}`))) socket.destroy();
         });
         const { host, port } = parts(address);
@@ -249,7 +251,7 @@
       },
       *connect(address, timeoutMs) {
         return yield* wait<Result<Link>>((done) => {
-          const socket = net.connect(parts(address));
+          const socket = NodeLibs.net().connect(parts(address));
           const timer = setTimeout(() => {
             socket.destroy();
             done(Fault.fail("refused", "connect", address, "no connection in time"));
@@ -267,7 +269,7 @@
       },
       *datagrams(address) {
         const { host, port } = parts(address);
-        const socket = dgram.createSocket("udp4");
+        const socket = NodeLibs.dgram().createSocket("udp4");
         const incoming = Csp.chan<{ from: string; data: Buffer }>(512);
         socket.on("message", (data, sender) => void Csp.offer(incoming, { from: `${sender.address}:${sender.port}`, data }));
         const failed = yield* wait<Error | undefined>((done) => {
@@ -287,7 +289,7 @@
         return Fault.ok(out);
       },
       *serveHttp(address, handler) {
-        const server = http.createServer((request, response) => {
+        const server = NodeLibs.http().createServer((request, response) => {
           const gone = Csp.chan<true>(1);
           response.on("close", () => gone.close());
           response.on("error", () => gone.close());
@@ -346,8 +348,8 @@
         const { host, port } = parts(address);
         return yield* wait<Result<HttpReply>>((done) => {
           let sent = false;
-          const request = http.request({
-            host, port, agent: out.fresh ? false : agent, method: out.method, path: out.path,
+          const request = NodeLibs.http().request({
+            host, port, agent: out.fresh ? false : patientAgent(), method: out.method, path: out.path,
             headers: { ...out.headers, ...(out.body === undefined ? {} : { ...(typeof out.body === "string" ? { "content-type": "application/json" } : {}), "content-length": Buffer.byteLength(out.body) }) },
           });
           let timedOut = false;
--- /dev/null
+++ b/src/env/nodeLibs.ts
@@ -0,0 +1,19 @@
+/* eslint-disable @typescript-eslint/no-require-imports */
+const loaded = new Map<string, unknown>();
+const lib = <T>(name: string): T => {
+  if (!loaded.has(name)) loaded.set(name, require(`node:${name}`));
+  return loaded.get(name) as T;
+};
+
+/**
+ * Node's libraries that hold handles of the system, loaded when first used: a start-up snapshot can't hold them.
+ *
+ * @example
+ * NodeLibs.net().createServer(serve);
+ */
+export const NodeLibs = {
+  http: (): typeof import("http") => lib("http"),
+  net: (): typeof import("net") => lib("net"),
+  dgram: (): typeof import("dgram") => lib("dgram"),
+  crypto: (): typeof import("crypto") => lib("crypto"),
+};
