Voters that have all just started need not wait for a grant that nobody can hold

Cause: after a loss of power of all, the group's lead came 1.0 to 1.2 s after its voters had started: each waits for the end of a grant it may have given before. If every voter says that it has just started, nobody holds one.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -43,6 +43,7 @@
   // --- control group ---
   electionMinMs: 900, // ms; shortest silence before a vote is asked for
   electionAgainMs: 150, // ms; shortest pause after a pre-vote that found no majority: it binds nobody
+  newbornElectionMs: 120, // ms; voters that have all just started ask for votes about so soon
   electionSpreadMs: 700, // ms; spread so that two seldom ask at once
   heartbeatMs: 150, // ms; lead tells the others it is there
   controlGrantMs: 800, // ms; lead counts its majority as held for this long from before the asking; below electionMinMs
--- a/src/control/group.ts
+++ b/src/control/group.ts
@@ -14,7 +14,7 @@
   to: string; group: string; term: number; lead: string; prevIndex: number; prevTerm: number; entries: Entry[]; commit: number;
   whole?: { index: number; term: number; state: ControlState };
 };
-type AskVote = { to: string; group: string; term: number; candidate: string; lastIndex: number; lastTerm: number };
+type AskVote = { to: string; group: string; term: number; candidate: string; lastIndex: number; lastTerm: number; ofNewborns: boolean };
 type Vote = { term: number; granted: boolean };
 type Follower = { next: number; match: number; heardAt: number; wake: Chan<true> };
 export type GroupHooks = {
@@ -55,6 +55,8 @@
   private writeWake: Chan<true> = Csp.sliding(1);
   private diskToken: Chan<true> = Csp.chan(1);
   private nextElection = 0;
+  /** Until an append comes: nothing but our own start keeps us from voting, and we lead nothing. */
+  private newborn = true;
   elections = 0;
 
   constructor(
@@ -109,7 +111,7 @@
     this.rpc.handle("group.vote", (body) => this.onVote(body));
     this.rpc.handle("group.append", (body) => this.onAppend(body));
     this.heardAt = this.env.mono(); // a restarted voter grants nothing for one grant time
-    this.setElection(Constants.electionMinMs, Constants.electionAgainMs); // where all were started together, nobody leads
+    this.nextElection = this.heardAt + Constants.newbornElectionMs * (0.3 + this.env.random());
     EnvTools.keep(this.env, this.env.scope, "election", () => this.electionLoop());
     EnvTools.keep(this.env, this.env.scope, "log writer", () => this.writeLoop());
   }
@@ -250,15 +252,17 @@
         continue;
       }
       if (this.env.mono() < this.nextElection || !this.founded() || !this.voters().includes(this.self) || this.slots.broken) continue;
-      const asked = yield* this.campaign();
-      this.setElection(asked ? Constants.electionMinMs : Constants.electionAgainMs);
+      const newborn = this.newborn && !this.quiet();
+      const asked = yield* this.campaign(newborn);
+      if (newborn && !asked) this.nextElection = this.env.mono() + Constants.newbornElectionMs * (0.5 + this.env.random());
+      else this.setElection(asked ? Constants.electionMinMs : Constants.electionAgainMs);
     }
   }
-  private *askVotes(verb: string, term: number): Task<boolean> {
+  private *askVotes(verb: string, term: number, ofNewborns: boolean, needed: number): Task<boolean> {
     const voters = this.voters();
     const replies = Csp.chan<boolean>(16);
     const group = this;
-    const body = { group: this.groupId(), term, candidate: this.self, lastIndex: this.lastIndex(), lastTerm: this.termAt(this.lastIndex())! };
+    const body = { group: this.groupId(), term, candidate: this.self, lastIndex: this.lastIndex(), lastTerm: this.termAt(this.lastIndex())!, ofNewborns };
     for (const id of voters.filter((voter) => voter !== this.self))
       Csp.go(this.env.scope, verb, function* () {
         const address = group.hooks.addressOf(id);
@@ -267,14 +271,18 @@
         Csp.offer(replies, replied?.ok === true && replied.value.granted === true);
       });
     let granted = 1;
-    for (let heard = 1; heard < voters.length && granted < this.majority(); heard += 1) if (yield* Csp.take(replies)) granted += 1;
-    return granted >= this.majority();
+    for (let heard = 1; heard < voters.length && granted < needed; heard += 1) if (yield* Csp.take(replies)) granted += 1;
+    return granted >= needed;
   }
-  /** Whether a vote was asked for: a pre-vote alone binds nobody, and may soon be asked again. */
-  private *campaign(): Task<boolean> {
+  /**
+   * Whether a vote was asked for: a pre-vote alone binds nobody, and may soon be asked again. Of newborns: after a loss
+   * of power of all, every voter has just started and nobody can hold a grant from before; when each of them says so,
+   * they need not wait for its end. An append heard by any of them ends this at once.
+   */
+  private *campaign(ofNewborns: boolean): Task<boolean> {
     this.elections += 1;
     const startedTerm = this.term;
-    if (!(yield* this.askVotes("group.preVote", startedTerm + 1))) return false;
+    if (!(yield* this.askVotes("group.preVote", startedTerm + 1, ofNewborns, ofNewborns ? this.voters().length : this.majority()))) return false;
     if (this.term !== startedTerm) return false;
     yield* Csp.take(this.diskToken);
     try {
@@ -288,12 +296,13 @@
     }
     this.role = "candidate";
     this.env.point(31);
-    const won = yield* this.askVotes("group.vote", startedTerm + 1);
+    const won = yield* this.askVotes("group.vote", startedTerm + 1, ofNewborns, this.majority());
     if (!won || this.term !== startedTerm + 1 || (this.role as string) !== "candidate") {
       if ((this.role as string) === "candidate") this.role = "follower";
       return true;
     }
     this.role = "lead";
+    this.newborn = false;
     this.lead = this.self;
     this.leadSince = this.env.mono();
     this.followers.clear();
@@ -443,10 +452,12 @@
   private forUs(to: string, step: string): Result<never> | undefined {
     return to === this.self ? undefined : Fault.fail("refused", step, this.self, `meant for ${to}, which is no longer here`);
   }
+  /** Whether nothing but our own start speaks against a vote that all voters, just started too, are asked for. */
+  private waives = (body: AskVote): boolean => body.ofNewborns && this.newborn && this.role !== "lead";
   private *onPreVote(body: AskVote): Task<Result<Vote>> {
     const stranger = this.forUs(body.to, "preVote");
     if (stranger) return stranger;
-    return Fault.ok({ term: this.term, granted: body.group === this.groupId() && this.quiet() && body.term > this.term && this.atLeast(body) });
+    return Fault.ok({ term: this.term, granted: body.group === this.groupId() && (this.quiet() || this.waives(body)) && body.term > this.term && this.atLeast(body) });
   }
   private *onVote(body: AskVote): Task<Result<Vote>> {
     const stranger = this.forUs(body.to, "vote");
@@ -454,7 +465,7 @@
     if (body.group !== this.groupId() || !this.founded()) return Fault.ok({ term: this.term, granted: false });
     yield* Csp.take(this.diskToken);
     try {
-      if (body.term < this.term || !this.quiet()) return Fault.ok({ term: this.term, granted: false });
+      if (body.term < this.term || !(this.quiet() || this.waives(body))) return Fault.ok({ term: this.term, granted: false });
       if (body.term > this.term && !(yield* this.stepDown(body.term, true))) return Fault.fail("disk", "vote", this.self, "term not saved");
       const granted = (this.votedFor === "" || this.votedFor === body.candidate) && this.atLeast(body);
       if (granted && this.votedFor === "") {
@@ -482,6 +493,7 @@
       if (body.term < this.term) return unmatched();
       if (body.term > this.term || this.role !== "follower") if (!(yield* this.stepDown(body.term, true))) return Fault.fail("disk", "append", this.self, "term not saved");
       this.heardAt = this.env.mono();
+      this.newborn = false;
       this.setElection();
       this.lead = body.lead;
       if (this.unsynced.length > 0) {
--- a/src/ingress/ingressNode.ts
+++ b/src/ingress/ingressNode.ts
@@ -97,7 +97,7 @@
       if (!served.ok) return served;
     }
     Csp.go(env.scope, "rehearse", function* () {
-      yield* Rehearsal.run(env, ingress.names, settings.http);
+      yield* Rehearsal.run(env, ingress.names, settings.http, () => (ingress.current.control?.manifest.version ?? 0) > 0);
       ingress.rehearsed = true;
     });
     env.log(1001, { program: "ingress", id: ingress.id, http: settings.http });
--- a/src/ingress/rehearsal.ts
+++ b/src/ingress/rehearsal.ts
@@ -15,7 +15,7 @@
  * the first time runs many times slower, and that would fall on the first callers after a start.
  *
  * @example
- * yield* Rehearsal.run(env, names, "10.0.0.5:7661");
+ * yield* Rehearsal.run(env, names, "10.0.0.5:7661", () => callersWait);
  */
 export const Rehearsal = {
   /** What answers the rehearsed requests: a stream of a few events, under the id asked. @example Rehearsal.routes(names) */
@@ -29,8 +29,8 @@
       incoming.end();
     },
   }],
-  /** @example yield* Rehearsal.run(env, names, address) */
-  *run(env: Env, names: HeaderNames, address: string): Task<void> {
+  /** Until it is done, or the ingress is needed. @example yield* Rehearsal.run(env, names, address, () => false) */
+  *run(env: Env, names: HeaderNames, address: string, needed: () => boolean): Task<void> {
     const until = env.mono() + Constants.rehearsalMs;
     const self: Replica = { key: "rehearsal", id: "rehearsal", instance: "rehearsal", address, pool: "", district: "", version: "", capacity: 1, active: 0, waiting: 0, bornAt: 0 };
     const one = function* (id: string): Task<boolean> {
@@ -47,7 +47,7 @@
     const finished = Csp.chan<true>(lanes);
     for (let lane = 0; lane < lanes; lane += 1)
       Csp.go(env.scope, "rehearsal", function* () {
-        for (let n = lane; n < Constants.rehearsalRequests && env.mono() < until; n += lanes) if (!(yield* one(`rehearsal-${n}`))) break;
+        for (let n = lane; n < Constants.rehearsalRequests && env.mono() < until && !needed(); n += lanes) if (!(yield* one(`rehearsal-${n}`))) break;
         Csp.offer(finished, true);
       });
     for (let lane = 0; lane < lanes; lane += 1) yield* EnvTools.takeWithin(env, finished, until - env.mono());
