Members that have just started ask and compare four times as often for four seconds

Cause: after a common loss of power some ingresses had the frame 0.9 s after control had its lead: they were not yet known to those who had it.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -21,6 +21,8 @@
   piggybackUpdates: 8, // updates a datagram; keeps a datagram under one 1500 byte frame... of loopback size
   piggybackRounds: 6, // times an update is passed on by each node: about 2·log2 of 24 members
   clockSamples: 9, // samples; median of the last ones is the estimated skew
+  youthMs: 4000, // ms; a member that has just started asks and compares more often: after a common start nobody knows anybody
+  youthFactor: 0.25, // share; of the usual periods while so young
   joinRetryMs: 500, // ms; seeds are asked again while nobody is known
 
   // --- news ---
@@ -151,6 +153,7 @@
   boundedLoad: 1.25, // factor; prefix affinity gives way above this multiple of mean load
   ejectFailures: 3, // failures in a row; then the replica is left alone
   ejectMs: 3000, // ms; left alone this long, then tried with one request
+  memberConnectMs: 200, // ms; a connection between members: past it, it is tried anew rather than left to a late repetition
   connectTimeoutMs: 1000, // ms; a replica that does not take a connection
   firstPieceMs: 3000, // ms; a replica that accepts and stays silent has gone dark
   pieceGapMs: 3000, // ms; the same between pieces
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -34,6 +34,7 @@
   dropped = 0;
   probes = 0;
   changed = 0;
+  private readonly startedAt: number;
 
   constructor(
     private readonly env: Env,
@@ -42,6 +43,7 @@
     private readonly seeds: () => string[],
     private readonly bind: string,
   ) {
+    this.startedAt = env.mono();
     this.members.set(self.id, { info: self, since: env.mono(), passes: 0 });
   }
 
@@ -254,6 +256,8 @@
     return reply === true;
   }
 
+  /** A usual period, or what it is for a member that has just started. @example membership.period(Constants.digestPeriodMs) */
+  period = (usualMs: number): number => (this.env.mono() - this.startedAt < Constants.youthMs ? usualMs * Constants.youthFactor : usualMs);
   private *probeLoop(): Task<void> {
     for (;;) {
       const startedAt = this.env.mono();
@@ -269,7 +273,7 @@
       // after a freeze our own suspicions are worth nothing
       if (spent > Constants.clockJumpMs + Constants.probePeriodMs)
         for (const known of this.members.values()) if (known.info.state === "suspect") known.since = this.env.mono();
-      yield* EnvTools.sleep(this.env, Math.max(20, Constants.probePeriodMs * (0.9 + 0.2 * this.env.random()) - spent));
+      yield* EnvTools.sleep(this.env, Math.max(20, this.period(Constants.probePeriodMs) * (0.9 + 0.2 * this.env.random()) - spent));
     }
   }
   private *probeNext(): Task<void> {
@@ -318,7 +322,7 @@
         const address = places[Math.floor(this.env.random() * places.length)];
         yield* this.ping({ address }, Constants.probeTimeoutMs, true);
       }
-      yield* EnvTools.sleep(this.env, Constants.joinRetryMs);
+      yield* EnvTools.sleep(this.env, this.period(Constants.joinRetryMs));
     }
   }
 }
--- a/src/membership/news.ts
+++ b/src/membership/news.ts
@@ -162,7 +162,7 @@
   }
   private *digestLoop(): Task<void> {
     for (;;) {
-      yield* EnvTools.sleep(this.env, Constants.digestPeriodMs * (0.8 + 0.4 * this.env.random()));
+      yield* EnvTools.sleep(this.env, this.membership.period(Constants.digestPeriodMs) * (0.8 + 0.4 * this.env.random()));
       const now = this.env.mono();
       for (const [key, held] of this.facts) {
         const keptFor = held.gone ? Constants.tombstoneMs : held.grantMs;
--- a/src/wire/rpc.ts
+++ b/src/wire/rpc.ts
@@ -97,7 +97,7 @@
     }
     const making: Connecting = { done: Csp.chan<true>(1), failed: undefined };
     this.connecting.set(address, making);
-    const linked = yield* this.env.connect(address, Constants.connectTimeoutMs / 2);
+    const linked = yield* this.env.connect(address, Constants.memberConnectMs);
     this.connecting.delete(address);
     if (!linked.ok) {
       making.failed = linked;
