--- a/src/constants.ts
+++ b/src/constants.ts
@@ -140,7 +140,8 @@
   connectMs: 350, // ms; a replica on the same site takes a connection well inside this
   idleConnectionMs: 8000, // ms; a connection to a replica is kept unused this long, or half of what the replica says
   refuseShare: 0.22, // share; of its aim that a request may wait for room: refused later it earns nothing more
-  comeBackMs: 250, // ms; told with a refusal for want of room: about one reply's time
+  comeBackMs: 350, // ms; told with a refusal for want of room: about one reply's time
+  comeBackUnreadyMs: 1100, // ms; told by an ingress that has nothing in force yet: about the time in which a fleet is up again
   stopListenMs: 3000, // ms; after SIGTERM callers are still sent here until they have seen that we are unready
   promptTokensPerMs: 100, // tokens; read in a ms by a replica: a guess that only sorts prompts into long and short
   promptPartsMax: 64, // parts; of one prompt that are looked at
--- a/src/ingress/directIntake.ts
+++ b/src/ingress/directIntake.ts
@@ -51,7 +51,7 @@
     const { ingress } = this;
     const arrivedAt = this.env.mono();
     const why = ingress.held();
-    if (why) return this.refuse(incoming, { tag: "busy", step: "accept", member: ingress.id, detail: why, retryAfterMs: Constants.comeBackMs });
+    if (why) return this.refuse(incoming, { tag: "busy", step: "accept", member: ingress.id, detail: why, retryAfterMs: Constants.comeBackUnreadyMs });
     const control = ingress.frame().control!;
     const bound = this.bound(incoming);
     if (!bound) return this.reply(incoming, { tag: "notFound", step: "find binding", member: ingress.id, detail: `no binding for ${incoming.path}` }, 404);
@@ -156,7 +156,7 @@
   /** A promise that it did not run and never will, with when to come back. */
   private refuse(incoming: HttpIn, fault: Extract<Fault, { tag: "busy" }>): void {
     this.ingress.counts.busies += 1;
-    this.reply(incoming, fault, 503, { "retry-after": (fault.retryAfterMs / 1000).toFixed(2) });
+    this.reply(incoming, fault, 503, { "retry-after": ((fault.retryAfterMs * (0.85 + 0.3 * this.env.random())) / 1000).toFixed(2) });
   }
   private reply(incoming: HttpIn, fault: Fault, status: number, headers: Record<string, string> = {}): void {
     const close = this.ingress.stopping || status === 413 ? { connection: "close" } : {};
