Newborn voters spread their asking, and ask again soon after a split vote; tested

Its second half: with a frozen lead that may still hold its grant, two voters that start again wait it out.

--- a/src/control/group.ts
+++ b/src/control/group.ts
@@ -111,7 +111,7 @@
     this.rpc.handle("group.vote", (body) => this.onVote(body));
     this.rpc.handle("group.append", (body) => this.onAppend(body));
     this.heardAt = this.env.mono(); // a restarted voter grants nothing for one grant time
-    this.nextElection = this.heardAt + Constants.newbornElectionMs * (0.3 + this.env.random());
+    this.setNewbornElection();
     EnvTools.keep(this.env, this.env.scope, "election", () => this.electionLoop());
     EnvTools.keep(this.env, this.env.scope, "log writer", () => this.writeLoop());
   }
@@ -212,6 +212,10 @@
   private setElection(leastMs: number = Constants.electionMinMs, spreadMs: number = Constants.electionSpreadMs): void {
     this.nextElection = this.env.mono() + leastMs + this.env.random() * spreadMs;
   }
+  /** Spread over some rounds of asking, so that two seldom ask at once. */
+  private setNewbornElection(): void {
+    this.nextElection = this.env.mono() + Constants.newbornElectionMs * (0.2 + 1.6 * this.env.random());
+  }
   private *note(records: Noted[]): Task<Result<true>> {
     return yield* this.slots.append(records);
   }
@@ -239,7 +243,7 @@
 
   private *electionLoop(): Task<void> {
     for (;;) {
-      yield* EnvTools.sleep(this.env, 60);
+      yield* EnvTools.sleep(this.env, this.newborn ? 10 : 60);
       if (this.role === "lead") {
         // a lead that lost its majority for long says so and steps down
         const now = this.env.mono();
@@ -254,7 +258,7 @@
       if (this.env.mono() < this.nextElection || !this.founded() || !this.voters().includes(this.self) || this.slots.broken) continue;
       const newborn = this.newborn && !this.quiet();
       const asked = yield* this.campaign(newborn);
-      if (newborn && !asked) this.nextElection = this.env.mono() + Constants.newbornElectionMs * (0.5 + this.env.random());
+      if (newborn) this.setNewbornElection();
       else this.setElection(asked ? Constants.electionMinMs : Constants.electionAgainMs);
     }
   }
--- a/test/control.test.ts
+++ b/test/control.test.ts
@@ -103,6 +103,27 @@
       expect(fleet.close()).toEqual([]);
     }
   });
+  test("voters that have all just started need not wait for a grant's end; where one may still lead, they do", async () => {
+    for (const seed of [1, 2, 3, 4]) {
+      const fleet = new ControlFleet(seed, { controls: 3 });
+      await fleet.run(3000);
+      expect(await put(fleet, 5, 0)).toBe(200);
+      for (const name of fleet.names("control")) fleet.kill(name, true);
+      await fleet.run(300);
+      for (const name of fleet.names("control")) fleet.restart(name);
+      expect(await fleet.until(() => fleet.lead() !== undefined, 5000)).toBeLessThan(Constants.electionMinMs);
+      expect(await inForce(fleet)).toBe(5);
+      // the lead freezes with its grant, the two others start again: they cannot know that it leads nothing
+      const lead = fleet.lead()!;
+      const others = fleet.names("control").filter((name) => name !== lead);
+      fleet.world.processes.get(lead)!.freeze();
+      for (const name of others) fleet.kill(name);
+      for (const name of others) fleet.restart(name);
+      const next = (): boolean => others.some((name) => fleet.control(name)?.group.holdsLead() ?? false);
+      expect(await fleet.until(next, 6000)).toBeGreaterThanOrEqual(Constants.electionMinMs);
+      expect(fleet.close()).toEqual([]);
+    }
+  });
   test("a new lead answers for nothing before all that was acknowledged is applied", async () => {
     for (let seed = 1; seed <= 8; seed += 1) {
       const fleet = new ControlFleet(seed, { controls: 4 });
