An ingress that stops closes its listeners before it waits for what is in flight

Callers may come at any time, since a district with few ready machines gets its callers all the same. Change: listeners and idle connections are closed once callers have had 3 s to see that it is unready; then it waits.

--- a/src/env/env.ts
+++ b/src/env/env.ts
@@ -75,6 +75,8 @@
   connect(address: string, timeoutMs: number): Task<Result<Link>>;
   datagrams(address: string): Task<Result<DatagramSocket>>;
   serveHttp(address: string, handler: (incoming: HttpIn) => Task<void>): Task<Result<true>>;
+  /** No new connection from now on, idle ones are closed, and each reply ends its connection; what is in flight goes on. */
+  stopServing(): void;
   http(address: string, out: HttpOut): Task<Result<HttpReply>>;
   /** A numbered fault point: the simulator may end the process here. */
   point(number: number, about?: About): void;
--- a/src/env/nodeEnv.ts
+++ b/src/env/nodeEnv.ts
@@ -214,6 +214,8 @@
 export const NodeEnv = {
   make(name: string, scope: Scope, log: Env["log"]): Env {
     const timers = new Set<NodeJS.Timeout>();
+    const servers: http.Server[] = [];
+    let closing = false;
     scope.whenStopped(() => timers.forEach((handle) => clearTimeout(handle)));
     return {
       name,
@@ -317,11 +319,13 @@
               }),
             send(status, headers, body) {
               if (response.headersSent || response.destroyed) return;
+              if (closing) response.shouldKeepAlive = false;
               response.writeHead(status, { ...headers, "content-length": Buffer.byteLength(body) });
               response.end(body);
             },
             open(status, headers) {
               if (response.headersSent || response.destroyed) return;
+              if (closing) response.shouldKeepAlive = false;
               response.writeHead(status, headers);
               response.flushHeaders();
             },
@@ -332,6 +336,7 @@
           Csp.go(scope, `${request.method} ${url.pathname}`, () => handler(incoming));
         });
         server.keepAliveTimeout = 30_000;
+        servers.push(server);
         const { host, port } = parts(address);
         const failed = yield* wait<Error | undefined>((done) => {
           server.once("error", done);
@@ -344,6 +349,13 @@
         });
         return Fault.ok(true as const);
       },
+      stopServing() {
+        closing = true;
+        for (const server of servers) {
+          server.close();
+          server.closeIdleConnections();
+        }
+      },
       *http(address, out) {
         const { host, port } = parts(address);
         return yield* wait<Result<HttpReply>>((done) => {
--- a/src/ingress/ingressNode.ts
+++ b/src/ingress/ingressNode.ts
@@ -363,6 +363,8 @@
     const startedAt = this.env.mono();
     // callers come until they have seen that we are unready: what they send is still served
     yield* EnvTools.sleep(this.env, Constants.stopListenMs);
+    // whoever comes now finds no listener and goes elsewhere: nothing is taken in that our end could cut
+    this.env.stopServing();
     while (this.env.mono() < startedAt + Constants.stopGraceMs && this.inFlight > 0) yield* EnvTools.sleep(this.env, 50);
     yield* EnvTools.sleep(this.env, Constants.ledgerFlushMs + 100);
     if (this.node) yield* this.node.depart(function* () { /* nothing is left to finish */ });
--- a/src/sim/simWorld.ts
+++ b/src/sim/simWorld.ts
@@ -346,6 +346,9 @@
         world.servers.set(address, { process, handler });
         return Fault.ok(true as const);
       },
+      stopServing() {
+        for (const [address, server] of world.servers) if (server.process === process) world.servers.delete(address);
+      },
       *http(address, out) {
         const done = oneShot<Result<HttpReply>>();
         let state: "connecting" | "sent" | "replied" | "over" = "connecting";
