A data folder's lock is known by its owner's address, not by a process number alone

Ruled out: waiting for the holder to go (it was no holder). Only one process can listen on an address, so a lock that names ours is ours; a folder held by another address is refused as before.

--- a/src/core/node.ts
+++ b/src/core/node.ts
@@ -38,7 +38,7 @@
   static *start(env: Env, settings: Settings, program: Program): Task<Result<Node>> {
     let id = EnvTools.id(env, program);
     if (settings.data) {
-      const locked = yield* env.disk.lock(settings.data);
+      const locked = yield* env.disk.lock(settings.data, settings.address);
       if (!locked.ok) {
         env.log(1006, { reason: locked.fault.detail });
         return locked;
--- a/src/env/env.ts
+++ b/src/env/env.ts
@@ -53,8 +53,8 @@
   remove(path: string): Task<Result<true>>;
   /** Free bytes. */
   free(folder: string): Task<Result<number>>;
-  /** One process at a time. */
-  lock(folder: string): Task<Result<true>>;
+  /** One process at a time; one with the same owner (its address, which only one can listen on) is the same, started again. */
+  lock(folder: string, owner: string): Task<Result<true>>;
 }
 /** What a fault point is about, for scenarios that lose what belongs to it. */
 export type About = { shard: number; joiners: string[] };
--- a/src/env/nodeEnv.ts
+++ b/src/env/nodeEnv.ts
@@ -160,17 +160,17 @@
         const stats = await fs.promises.statfs(folder);
         return stats.bavail * stats.bsize;
       }),
-    lock: (folder) =>
+    lock: (folder, owner) =>
       guard(`lock ${folder}`, async () => {
         await fs.promises.mkdir(folder, { recursive: true });
         const file = path.join(folder, "lock");
         const holder = await fs.promises.readFile(file, "utf8").catch(() => "");
         if (holder) {
           // the number may have been taken by a stranger since; its start time tells
-          const [pid, started] = holder.split(" ");
-          if (startTime(+pid) === started && +pid !== process.pid) throw new Error(`${folder} is in use by process ${pid}`);
+          const [pid, started, heldBy] = holder.split(" ");
+          if (heldBy !== owner && startTime(+pid) === started && +pid !== process.pid) throw new Error(`${folder} is in use by process ${pid}`);
         }
-        await fs.promises.writeFile(file, `${process.pid} ${startTime(process.pid)}`);
+        await fs.promises.writeFile(file, `${process.pid} ${startTime(process.pid)} ${owner}`);
         return true as const;
       }),
   };
--- a/test/stopping.test.ts
+++ b/test/stopping.test.ts
@@ -1,3 +1,6 @@
+import * as fs from "fs";
+import * as os from "os";
+import * as path from "path";
 import { Csp } from "../src/csp/csp";
 import { EnvTools, HttpIn } from "../src/env/env";
 import { TestTools } from "./tools";
@@ -23,3 +26,15 @@
   });
   expect(seen).toEqual({ late: "refused", held: "close whole" });
 });
+test("a folder whose lock names our own address is ours, whatever lives under the process number in it", async () => {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), "petrelbeam-lock-"));
+  const parent = fs.readFileSync(`/proc/${process.ppid}/stat`, "utf8");
+  const living = `${process.ppid} ${parent.slice(parent.lastIndexOf(")") + 2).split(" ")[19]}`;
+  const locked = await TestTools.run(function* (env) {
+    fs.writeFileSync(path.join(folder, "lock"), `${living} 127.0.0.1:7001`);
+    const another = yield* env.disk.lock(folder, "127.0.0.1:7002");
+    return [another.ok, (yield* env.disk.lock(folder, "127.0.0.1:7001")).ok];
+  });
+  fs.rmSync(folder, { recursive: true, force: true });
+  expect(locked).toEqual([false, true]);
+});
