Idle wake-ups: timers without full channels, loops wait for what they look for

Cause: processes that nobody calls woke 45 to 90 times a second and used 0.045 (ingress), 0.048 (control) and 0.062 cores (store), half of a small machine's processor. A task made a channel that nobody took from, a timer a full buffered one; followers looked 17 times a second whether to stand for election, the dispatcher 25 times for lots that were not there. Ruled out: longer periods of probes, digests and grants, which detection and takeover hang on.

--- a/src/control/calendar.ts
+++ b/src/control/calendar.ts
@@ -29,7 +29,7 @@
   }
   private *loop(): Task<void> {
     for (;;) {
-      yield* EnvTools.sleep(this.env, Constants.movePeriodMs);
+      yield* EnvTools.sleep(this.env, this.group.role === "lead" ? Constants.movePeriodMs : Constants.dutyPeriodMs);
       if (!this.group.holdsLead()) continue;
       for (const entry of Object.values(this.group.state.calendar)) {
         const due = entry.due <= this.env.wall();
--- a/src/control/controlNode.ts
+++ b/src/control/controlNode.ts
@@ -230,7 +230,7 @@
   /** Decisions of control reach the ledger keyed by log index, so that a repeat adds nothing. */
   private *tellLoop(): Task<void> {
     for (;;) {
-      yield* EnvTools.sleep(this.env, 200);
+      yield* EnvTools.sleep(this.env, this.group.role === "lead" ? 200 : Constants.dutyPeriodMs);
       if (!this.group.holdsLead()) continue;
       const untold = this.group.state.untold.slice(0, 50);
       if (untold.length === 0 || Object.keys(this.group.state.views).length < Constants.shardCount) continue;
--- a/src/control/group.ts
+++ b/src/control/group.ts
@@ -241,9 +241,15 @@
     }
   }
 
+  /** A follower has nothing to do before its next election would be due: every heartbeat puts that off. */
+  private untilLook(): number {
+    if (this.newborn) return 10;
+    if (this.role === "lead") return Constants.heartbeatMs;
+    return this.founded() ? Math.min(Constants.electionLookMs, Math.max(20, this.nextElection - this.env.mono())) : 60;
+  }
   private *electionLoop(): Task<void> {
     for (;;) {
-      yield* EnvTools.sleep(this.env, this.newborn ? 10 : 60);
+      yield* EnvTools.sleep(this.env, this.untilLook());
       if (this.role === "lead") {
         // a lead that lost its majority for long says so and steps down
         const now = this.env.mono();
--- a/src/csp/csp.ts
+++ b/src/csp/csp.ts
@@ -26,6 +26,31 @@
 
 type Handler = { isActive(): boolean; isBlockable(): boolean; commit(): (value: unknown) => void };
 
+/** A channel that carries nothing and is closed once: what a timer is, at a tenth of the memory and work of a full one. */
+class Alarm {
+  private handlers: Handler[] = [];
+  private closed = false;
+  isClosed(): boolean {
+    return this.closed;
+  }
+  close(): void {
+    if (this.closed) return;
+    this.closed = true;
+    const waiting = this.handlers;
+    this.handlers = [];
+    for (const handler of waiting) if (handler.isActive()) handler.commit()(null);
+  }
+  take(handler: Handler): { value: null } | null {
+    if (!handler.isActive()) return null;
+    if (this.closed) {
+      handler.commit();
+      return { value: null };
+    }
+    this.handlers.push(handler);
+    return null;
+  }
+}
+
 /** A branch of the supervisor tree: tasks and further branches that end together. */
 export class Scope {
   alive = true;
@@ -59,19 +84,19 @@
 
 let turns = 0;
 
-function step(scope: Scope, name: string, task: Task<unknown>, finish: () => void, first: unknown): void {
+function step(scope: Scope, name: string, task: Task<unknown>, first: unknown): void {
   let value = first;
   for (;;) {
-    if (!scope.alive) return finish();
+    if (!scope.alive) return;
     turns += 1;
     let stepped: IteratorResult<Instruction, unknown>;
     try {
       stepped = task.next(value);
     } catch (error) {
       if (scope.alive) scope.onError(name, error);
-      return finish();
+      return;
     }
-    if (stepped.done) return finish();
+    if (stepped.done) return;
     const instruction = stepped.value;
     let inCall = true;
     let ready = false;
@@ -80,7 +105,7 @@
       if (inCall) {
         ready = true;
         value = resumedWith;
-      } else step(scope, name, task, finish, resumedWith);
+      } else step(scope, name, task, resumedWith);
     };
     if (instruction.op === "put") {
       lib.putAsync(instruction.chan, instruction.value, resume);
@@ -127,6 +152,8 @@
   chan: <T>(size: number): Chan<T> => lib.chan(lib.buffers.fixed(size)),
   /** Keeps the newest. @example Csp.sliding<number>(1) */
   sliding: <T>(size: number): Chan<T> => lib.chan(lib.buffers.sliding(size)),
+  /** Only ever closed, and its takers go on at once: to be closed by what runs no task. @example Csp.alarm() */
+  alarm: (): Chan<never> => new Alarm() as unknown as Chan<never>,
   take: takeOne,
   put: putOne,
   select: selectFirst,
@@ -141,14 +168,11 @@
     return polled === lib.NO_VALUE || polled === null ? undefined : (polled as T);
   },
   /** Starts a task in a branch of the tree. @example Csp.go(scope, "pump", function* () { ... }); */
-  go(scope: Scope, name: string, body: () => Task<unknown>): Chan<true> {
-    const finished = Csp.chan<true>(1);
+  go(scope: Scope, name: string, body: () => Task<unknown>): void {
     turns += 1;
     setImmediate(() => {
-      if (!scope.alive) return;
-      step(scope, name, body(), () => finished.close(), undefined);
+      if (scope.alive) step(scope, name, body(), undefined);
     });
-    return finished;
   },
   /** Grows with every step any task takes; the simulator reads it. @example Csp.turns() */
   turns: (): number => turns,
--- a/src/env/nodeEnv.ts
+++ b/src/env/nodeEnv.ts
@@ -225,7 +225,7 @@
       mono: () => performance.now(),
       random: () => NodeLibs.crypto().randomBytes(6).readUIntBE(0, 6) / 2 ** 48,
       timer(ms) {
-        const chan = Csp.chan<never>(1);
+        const chan = Csp.alarm();
         const handle = setTimeout(() => {
           timers.delete(handle);
           chan.close();
--- a/src/sim/simWorld.ts
+++ b/src/sim/simWorld.ts
@@ -298,7 +298,7 @@
       mono: () => 1000 + world.now,
       random: () => world.random(),
       timer(ms): Timer {
-        const chan = Csp.chan<never>(1);
+        const chan = Csp.alarm();
         let cancelled = false;
         world.at(ms, () => {
           if (!cancelled) process.deliver(() => chan.close());
--- a/src/store/work.ts
+++ b/src/store/work.ts
@@ -32,6 +32,7 @@
   private opening = new Map<string, Chan<true>>();
   private changed = new Map<string, Chan<true>[]>(); // readers of a request
   private openLots = new Map<string, number>(); // lot id → shard, for the shards we lead
+  private lotOpened: Chan<true> = Csp.sliding(1);
   private lotsInFlight = new Map<string, number>(); // by pool
   private liveInFlight = new Map<string, number>();
   private crowdedAt = new Map<string, number>();
@@ -313,7 +314,7 @@
     if (!Stamp.admits(body.stamp.time, this.env.wall(), this.node.bounds())) return Fault.fail("late", "accept lot", this.node.self.id, "stamp outside the bounds");
     if (copy.view!.members.length < Constants.minCopiesForLots) return Fault.busy("accept lot", this.node.self.id, "too few copies", 3 * Constants.retryAfterMs);
     const put = yield* copy.put({ putId: `lot-${body.lot.id}-${body.lot.bodyHash}`, stamp: body.stamp, ops: [{ op: "lot", lot: body.lot }], cause: { ...body.cause, view: copy.view?.epoch } }, 1100);
-    if (put.ok && put.value.tag === "done") this.openLots.set(body.lot.id, copy.shard);
+    if (put.ok && put.value.tag === "done") this.openLot(body.lot.id, copy.shard);
     return put;
   }
   /** @example yield* work.lotStatus(copy, { id: "L1" }) */
@@ -329,7 +330,7 @@
   }
   /** A lot whose put outran the handler's patience was accepted all the same. */
   private noteOpenLots(copy: ShardCopy): void {
-    for (const lot of copy.data.lots.values()) if (lot.open > 0 && !lot.ended && !lot.requests) this.openLots.set(lot.id, copy.shard);
+    for (const lot of copy.data.lots.values()) if (lot.open > 0 && !lot.ended && !lot.requests) this.openLot(lot.id, copy.shard);
   }
   /** A shard's lead begins: what its log calls for is taken up. @example work.leadStarted(copy); */
   leadStarted(copy: ShardCopy): void {
@@ -438,9 +439,14 @@
     yield* this.put(copy.shard, putId, [op], { note: "lead changed" }, 5000);
   }
 
+  private openLot(id: string, shard: number): void {
+    this.openLots.set(id, shard);
+    Csp.offer(this.lotOpened, true);
+  }
   private *dispatchLoop(): Task<void> {
     const backOff = new Map<string, number>();
     for (;;) {
+      if (this.openLots.size === 0) yield* Csp.take(this.lotOpened);
       yield* EnvTools.sleep(this.env, Constants.lotTickMs);
       if (this.node.stopping || !this.node.vouches()) continue;
       const frame = this.node.frame();
