News tells what changed, digests are sums by range, and members are compared too

Lists of all members went to whoever asked a seed again, every 2 s: 40 KB/s at 120 members; each member came to hold a link to every other. Now a renewal carries the fields that became otherwise, a push wants no reply, digests compare one sum, then 64, then the facts of the ranges that differ; a fact that was not renewed for long is asked after. Members are compared the same way, so a living seed is not asked for its list; in a fleet over 25 each talks to 24 on a ring of ids.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -23,10 +23,16 @@
   clockSamples: 9, // samples; median of the last ones is the estimated skew
   youthMs: 4000, // ms; a member that has just started asks and compares more often: after a common start nobody knows anybody
   youthFactor: 0.25, // share; of the usual periods while so young
+  memberBuckets: 16, // ranges of members; compared one by one only where the sum of all differs
   joinRetryMs: 500, // ms; seeds are asked again while nobody is known
+  rejoinMs: 2000, // ms; and so often once somebody is, so that a healed cut is noticed
 
   // --- news ---
-  newsFlushMs: 150, // ms; not urgent news waits this long for company
+  newsFlushMs: 250, // ms; not urgent news waits this long for company: four times a second, whatever comes
+  newsBuckets: 64, // ranges of facts; compared one by one only where the sum of all differs
+  newsPartners: 24, // members; in a larger fleet one talks to these only, so that the connections of a node stay few
+  staleShare: 0.45, // of a grant; a fact not renewed for so long, two announcements and the way of news, is asked after with each digest
+  staleAsked: 200, // facts; asked after at once
   newsFanout: 3, // members told at once
   digestPeriodMs: 500, // ms; digests compared with one member; mends gaps well inside two seconds
   replicaGrantMs: 4000, // ms; a replica not heard of for this long is not chosen
@@ -40,12 +46,14 @@
 
   // --- freezes ---
   clockJumpMs: 1000, // ms; a timer this late means the process was frozen; grants count as ended
+  linkIdleMs: 30_000, // ms; a connection between members that was not used for so long is ended
   clockWatchMs: 200, // ms; how often the watch looks
 
   // --- control group ---
   electionMinMs: 900, // ms; shortest silence before a vote is asked for
   electionAgainMs: 150, // ms; shortest pause after a pre-vote that found no majority: it binds nobody
   newbornElectionMs: 120, // ms; voters that have all just started ask for votes about so soon
+  electionLookMs: 300, // ms; a follower looks at least so often whether its election is due
   electionSpreadMs: 700, // ms; spread so that two seldom ask at once
   heartbeatMs: 150, // ms; lead tells the others it is there
   controlGrantMs: 800, // ms; lead counts its majority as held for this long from before the asking; below electionMinMs
--- a/src/core/node.ts
+++ b/src/core/node.ts
@@ -83,7 +83,11 @@
     if (!served.ok) return served;
     if (!(yield* membership.start())) return Fault.fail("internal", "bind", settings.address, "datagram socket not to be had");
     news.start();
-    membership.watch(() => (node.cached = undefined));
+    membership.watch((changed) => {
+      node.cached = undefined;
+      // a connection to who does not answer may carry nothing: a new one tells, and is made once it is there again
+      if (changed && changed.state !== "alive" && changed.id !== id) rpc.drop(changed.address);
+    });
     news.watch(() => (node.cached = undefined));
     EnvTools.keep(env, env.scope, "clock watch", () => node.watchClock());
     env.log(1001, { program, id, district: settings.district, address: settings.address });
@@ -114,9 +118,14 @@
   private *watchClock(): Task<void> {
     let last = this.env.mono();
     let base = this.env.wall() - last;
+    let sweptAt = last;
     for (;;) {
       yield* EnvTools.sleep(this.env, Constants.clockWatchMs);
       const now = this.env.mono();
+      if (now - sweptAt > Constants.linkIdleMs) {
+        this.rpc.sweep(Constants.linkIdleMs);
+        sweptAt = now;
+      }
       const offset = this.env.wall() - now;
       if (Math.abs(offset - base) > this.bounds().deltaMs) this.membership.clockStepped();
       base = offset;
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -1,6 +1,7 @@
 import { Constants } from "../constants";
 import { Chan, Csp, Task } from "../csp/csp";
 import { DatagramSocket, Env, EnvTools } from "../env/env";
+import { Hash } from "../core/hash";
 import { Wire } from "../wire/wire";
 import { Member } from "./member";
 
@@ -10,6 +11,9 @@
   | { tag: "askAround"; n: number; from: Member; target: Member; updates: Member[] }
   | { tag: "vouch"; n: number; from: Member; updates: Member[] };
 
+/** Where a member stands, as two others compare it. */
+export type MemberStanding = [incarnation: number, rank: number];
+
 const rank = { alive: 0, suspect: 1, dead: 2, left: 3 };
 
 /**
@@ -30,7 +34,9 @@
   private turn: string[] = [];
   private vouches = true;
   private mustSample = false;
-  private watchers: (() => void)[] = [];
+  private watchers: ((changed?: Member) => void)[] = [];
+  private living: Member[] | undefined; // by id, until anything changes
+  private livingSums: number[] | undefined; // of those, by range, until anything changes
   dropped = 0;
   probes = 0;
   changed = 0;
@@ -62,16 +68,47 @@
     return true;
   }
 
-  /** Called after every change. @example membership.watch(() => rebuild()); */
-  watch(watcher: () => void): void {
+  /** Called after every change, with the member it is about. @example membership.watch((changed) => rebuild(changed)); */
+  watch(watcher: (changed?: Member) => void): void {
     this.watchers.push(watcher);
   }
   /** Members that may be worked with, suspects among them. @example membership.alive("store") */
   alive(program?: Member["program"]): Member[] {
-    return [...this.members.values()]
+    this.living ??= [...this.members.values()]
       .map((known) => known.info)
-      .filter((info) => (info.state === "alive" || info.state === "suspect") && (!program || info.program === program))
+      .filter((info) => info.state === "alive" || info.state === "suspect")
       .sort((left, right) => (left.id < right.id ? -1 : 1));
+    return program ? this.living.filter((info) => info.program === program) : this.living.slice();
+  }
+  /** One sum a range of ids, over the members that live: equal where two hold the same for alive. @example membership.sums()[3] */
+  sums(): number[] {
+    if (this.livingSums) return this.livingSums;
+    const sums: number[] = Array(Constants.memberBuckets).fill(0);
+    for (const { info } of this.members.values())
+      if (rank[info.state] < 2) sums[Membership.bucketOf(info.id)] ^= Hash.number(`${info.id}|${info.incarnation}`);
+    return (this.livingSums = sums);
+  }
+  private static bucketOf = (id: string): number => Hash.number(id) % Constants.memberBuckets;
+  /** Where the members of some ranges stand, the dead that are remembered among them. @example membership.standing([3]) */
+  standing(buckets: number[]): Record<string, MemberStanding> {
+    const within = this.all().filter((info) => buckets.includes(Membership.bucketOf(info.id)));
+    return Object.fromEntries(within.map((info): [string, MemberStanding] => [info.id, [info.incarnation, rank[info.state]]]));
+  }
+  /** What another lacks of those ranges, and what we lack of it. @example membership.differ([3], standing).want */
+  differ(buckets: number[], theirs: Record<string, MemberStanding>): { updates: Member[]; want: string[] } {
+    const ours = this.standing(buckets);
+    const newer = (left: MemberStanding, right: MemberStanding): boolean => left[0] > right[0] || (left[0] === right[0] && left[1] > right[1]);
+    const updates = Object.keys(ours).filter((id) => (theirs[id] ? newer(ours[id], theirs[id]) : ours[id][1] < 2));
+    const want = Object.keys(theirs).filter((id) => (ours[id] ? newer(theirs[id], ours[id]) : theirs[id][1] < 2));
+    return { updates: this.infos(updates), want };
+  }
+  /** @example membership.infos(["agent-7"]) */
+  infos(ids: string[]): Member[] {
+    return ids.flatMap((id) => this.members.get(id)?.info ?? []);
+  }
+  /** Takes in what another tells of members. @example membership.told(updates); */
+  told(updates: Member[]): void {
+    for (const update of updates) this.learn(update, false);
   }
   /** @example membership.all().filter((member) => member.state === "dead") */
   all(): Member[] {
@@ -126,7 +163,8 @@
       known.since = this.env.mono();
     }
     this.changed += 1;
-    for (const watcher of this.watchers) watcher();
+    this.living = this.livingSums = undefined;
+    for (const watcher of this.watchers) watcher(known?.info);
   }
   private updates(): Member[] {
     const fresh = [...this.members.values()]
@@ -313,16 +351,17 @@
   }
 
   private *joinLoop(): Task<void> {
-    for (let round = 0; ; round += 1) {
-      const others = this.alive().length - 1;
+    for (;;) {
+      // who is known to be there needs no asking: what passes between the living is compared by digests
+      const young = this.env.mono() - this.startedAt < Constants.youthMs;
+      const there = new Set((young ? [this.self] : this.alive()).map((member) => member.address));
       const lost = this.all().filter((member) => member.state === "dead").map((member) => member.address);
-      const places = [...this.seeds(), ...lost].filter((address) => address !== this.self.address);
-      // now and then the lost and the seeds are asked again, so that a healed cut is noticed
-      if (places.length > 0 && (others < 2 || round % 4 === 0)) {
-        const address = places[Math.floor(this.env.random() * places.length)];
-        yield* this.ping({ address }, Constants.probeTimeoutMs, true);
-      }
-      yield* EnvTools.sleep(this.env, this.period(Constants.joinRetryMs));
+      const places = [...this.seeds(), ...lost].filter((address) => !there.has(address));
+      const address = places[Math.floor(this.env.random() * places.length)];
+      if (address !== undefined) yield* this.ping({ address }, Constants.probeTimeoutMs, true);
+      // now and then the lost and the missing seeds are asked again, so that a healed cut is noticed
+      const known = this.alive().length - 1 >= 2;
+      yield* EnvTools.sleep(this.env, this.period(known ? Constants.rejoinMs : Constants.joinRetryMs));
     }
   }
 }
--- a/src/membership/news.ts
+++ b/src/membership/news.ts
@@ -2,17 +2,27 @@
 import { Chan, Csp, Task } from "../csp/csp";
 import { Env, EnvTools } from "../env/env";
 import { Fault, Result } from "../core/fault";
+import { Hash } from "../core/hash";
 import { Rpc } from "../wire/rpc";
 import { ControlFrame, ControlState } from "../control/controlState";
-import { Membership } from "./membership";
+import { Member } from "./member";
+import { Membership, MemberStanding } from "./membership";
 
 /** One fact with an owner and a version; no value means it has ended for good. */
 export type Fact = { key: string; owner: string; version: number; value: unknown; gone: boolean };
-type Held = Fact & { heardAt: number; grantMs: number };
+/** A value that changes a little at a time: a base, and what of it is otherwise by now. */
+type Layers = { base: number; whole: unknown; patch: Record<string, unknown> };
+type Held = Fact & Layers & { heardAt: number; grantMs: number; mark: number };
 type Have = { have: number; group: string; manifest: number };
 type FrameTold = Omit<ControlFrame, "manifest"> & { manifest?: ControlFrame["manifest"] };
 /** A fact on its way carries its age, so that passing it on never makes it younger. */
-type Told = Fact & { grantMs: number; ageMs: number };
+type Told = Omit<Fact, "value"> & Layers & { grantMs: number; ageMs: number };
+/** A newer version of a fact whose base the other will have: only what is otherwise goes along. */
+type Renewed = [key: string, owner: string, version: number, base: number, patch: Record<string, unknown>, ageMs: number];
+type Push = { facts: Told[]; renewed: Renewed[]; frameIndex: number; group?: string };
+type Standing = [base: number, version: number, gone: number];
+type Digest = { sum: number; memberSum: number; stale: Record<string, number>; frameIndex: number; group?: string };
+type Compared = { frameIndex: number; renewed: Renewed[]; sums?: number[]; memberSums?: number[] }; // no sums: nothing differs
 
 /**
  * News passed to a few members, gaps mended by digests. The control frame travels with it:
@@ -25,9 +35,13 @@
  */
 export class News {
   private facts = new Map<string, Held>();
-  private fresh = new Set<string>();
-  private wake: Chan<true> = Csp.sliding(1);
+  private order: string[] | undefined; // keys in order, until a fact comes or goes
+  private readonly sums: number[] = Array(Constants.newsBuckets).fill(0); // of the marks of the facts in each bucket
+  private fresh = new Map<string, "whole" | "renewed">();
+  private stirred: Chan<true> = Csp.sliding(1); // there is something to tell
+  private wake: Chan<true> = Csp.sliding(1); // and it is urgent
   private fetching = false;
+  private turn: string[] = [];
   private watchers: (() => void)[] = [];
   frame: ControlFrame | undefined;
   /** When digests were last compared with anybody, by either side. */
@@ -44,6 +58,15 @@
   start(): void {
     this.rpc.handle("news.push", (body, sender) => this.pushed(body, sender));
     this.rpc.handle("news.digest", (body, sender) => this.compared(body, sender));
+    this.rpc.handle("news.differ", (body) => this.differed(body));
+    const { membership } = this;
+    this.rpc.handle("members.differ", function* (body: { buckets: number[]; standing: Record<string, MemberStanding> }) {
+      return Fault.ok(membership.differ(body.buckets, body.standing));
+    });
+    this.rpc.handle("members.told", function* (body: { updates: Member[] }) {
+      membership.told(body.updates);
+      return Fault.ok(true);
+    });
     this.rpc.handle("frame.fetch", (body) => this.fetched(body));
     EnvTools.keep(this.env, this.env.scope, "news push", () => this.pushLoop());
     EnvTools.keep(this.env, this.env.scope, "news digest", () => this.digestLoop());
@@ -56,17 +79,35 @@
     for (const watcher of this.watchers) watcher();
   }
 
-  /** Tells a fact of ours. @example news.tell("load/n1", { live: 3 }, 5000, false); */
+  /**
+   * Tells a fact of ours. One that is not urgent goes as what changed, and where that is lost the next telling makes
+   * it good; an urgent one goes whole, and digests mend what is lost of it.
+   * @example news.tell("load/n1", { live: 3 }, 5000, false);
+   */
   tell(key: string, value: unknown, grantMs: number, urgent: boolean): void {
     const known = this.facts.get(key);
-    const version = Math.max(Math.floor(this.env.wall()), (known?.version ?? 0) + 1);
-    this.keep({ key, owner: this.membership.self.id, version, value, gone: false }, grantMs);
+    const version = this.nextVersion(known);
+    const standing = known && !known.gone && !urgent && known.grantMs === grantMs && this.env.mono() - known.heardAt < grantMs;
+    const patch = standing ? News.patchOf(known.whole, value) : undefined;
+    const layers: Layers = known && patch ? { base: known.base, whole: known.whole, patch } : { base: version, whole: value, patch: {} };
+    this.keep({ key, owner: this.membership.self.id, version, gone: false, ...layers }, grantMs);
     if (urgent) Csp.offer(this.wake, true);
   }
+  private nextVersion = (known: Held | undefined): number => Math.max(Math.floor(this.env.wall()), (known?.version ?? 0) + 1);
+  /** Fields that are otherwise; none if the whole is shorter told anew. */
+  private static patchOf(whole: unknown, value: unknown): Record<string, unknown> | undefined {
+    const isObject = (each: unknown): each is Record<string, unknown> => typeof each === "object" && each !== null && !Array.isArray(each);
+    if (!isObject(whole) || !isObject(value)) return undefined;
+    const names = Object.keys(value);
+    if (Object.keys(whole).some((name) => !(name in value))) return undefined;
+    const otherwise = names.filter((name) => whole[name] !== value[name] && JSON.stringify(whole[name]) !== JSON.stringify(value[name]));
+    if (otherwise.length * 2 > names.length) return undefined;
+    return Object.fromEntries(otherwise.map((name) => [name, value[name]]));
+  }
   /** Ends a fact for good. @example news.end("replica/r1/x"); */
   end(key: string, value = this.facts.get(key)?.value ?? null): void {
-    const known = this.facts.get(key);
-    this.keep({ key, owner: this.membership.self.id, version: Math.max(Math.floor(this.env.wall()), (known?.version ?? 0) + 1), value, gone: true }, Constants.tombstoneMs);
+    const version = this.nextVersion(this.facts.get(key));
+    this.keep({ key, owner: this.membership.self.id, version, gone: true, base: version, whole: value, patch: {} }, Constants.tombstoneMs);
     Csp.offer(this.wake, true);
   }
   /** Ends facts, and returns once another member knows it too, or soon: our word should outlive us. @example yield* news.endKept([key]); */
@@ -79,7 +120,7 @@
     if (told.length === 0) return;
     for (const address of told)
       Csp.go(this.env.scope, "push a goodbye", function* () {
-        const replied = yield* news.rpc.ask(address, "news.push", { facts, frameIndex: 0 }, Constants.goodbyeToldMs);
+        const replied = yield* news.rpc.ask(address, "news.push", { facts, renewed: [], frameIndex: 0 } satisfies Push, Constants.goodbyeToldMs);
         if (replied.ok) Csp.offer(heard, true);
       });
     yield* EnvTools.takeWithin(this.env, heard, Constants.goodbyeToldMs);
@@ -87,9 +128,13 @@
   /** Facts under a grant, by key prefix. @example news.current("replica/") */
   current(prefix: string): Fact[] {
     const now = this.env.mono();
-    return [...this.facts.values()]
-      .filter((fact) => fact.key.startsWith(prefix) && !fact.gone && now - fact.heardAt < fact.grantMs)
-      .sort((left, right) => (left.key < right.key ? -1 : 1));
+    const found: Fact[] = [];
+    for (const key of (this.order ??= [...this.facts.keys()].sort())) {
+      if (!key.startsWith(prefix)) continue;
+      const fact = this.facts.get(key)!;
+      if (!fact.gone && now - fact.heardAt < fact.grantMs) found.push(fact);
+    }
+    return found;
   }
   /** A fact as it stands, ended or not. @example news.find("replica/r1/x")?.value */
   find(key: string): Fact | undefined {
@@ -111,53 +156,100 @@
     this.frame = frame;
     this.frameAt = this.env.mono();
     this.env.point(21);
+    Csp.offer(this.stirred, true);
     Csp.offer(this.wake, true);
     this.notify();
     return true;
   }
 
-  private keep(fact: Fact, grantMs: number, ageMs = 0): boolean {
-    const known = this.facts.get(fact.key);
+  /** What two members compare: the same where both can take the same renewals. */
+  private static markOf = (fact: { key: string; base: number; gone: boolean }): number => Hash.number(`${fact.key}|${fact.gone ? "gone" : fact.base}`);
+  private static bucketOf = (key: string): number => Hash.number(key) % Constants.newsBuckets;
+  private keep(told: Omit<Fact, "value"> & Layers, grantMs: number, ageMs = 0): boolean {
+    const known = this.facts.get(told.key);
     if (known) {
-      if (known.gone && !fact.gone) return false;
-      const sooner = fact.version < known.version || (fact.version === known.version && fact.owner <= known.owner);
-      if (sooner && !(fact.gone && !known.gone)) return false;
-    }
-    this.facts.set(fact.key, { ...fact, heardAt: this.env.mono() - ageMs, grantMs });
-    this.fresh.add(fact.key);
+      if (known.gone && !told.gone) return false;
+      const sooner = told.version < known.version || (told.version === known.version && told.owner <= known.owner);
+      if (sooner && !(told.gone && !known.gone)) return false;
+    } else if (ageMs > Constants.tombstoneMs) return false; // others forget it by now, as we did
+    const value = Object.keys(told.patch).length === 0 ? told.whole : { ...(told.whole as object), ...told.patch };
+    const held: Held = { ...told, value, heardAt: this.env.mono() - ageMs, grantMs, mark: News.markOf(told) };
+    this.sums[News.bucketOf(held.key)] ^= (known?.mark ?? 0) ^ held.mark;
+    if (!known) this.order = undefined;
+    this.facts.set(held.key, held);
+    const rebased = known?.mark !== held.mark || this.fresh.get(told.key) === "whole";
+    this.fresh.set(told.key, rebased ? "whole" : "renewed");
+    Csp.offer(this.stirred, true);
     this.notify();
     return true;
   }
-  private bare = (held: Held): Told => ({
-    key: held.key, owner: held.owner, version: held.version, value: held.value, gone: held.gone, grantMs: held.grantMs,
-    ageMs: Math.max(0, this.env.mono() - held.heardAt),
+  private forget(held: Held): void {
+    this.sums[News.bucketOf(held.key)] ^= held.mark;
+    this.order = undefined;
+    this.facts.delete(held.key);
+    this.fresh.delete(held.key);
+  }
+  private bare = ({ key, owner, version, gone, base, whole, patch, grantMs, heardAt }: Held): Told => ({
+    key, owner, version, gone, base, whole, patch, grantMs, ageMs: Math.max(0, Math.round(this.env.mono() - heardAt)),
   });
+  private renewal = ({ key, owner, version, base, patch, heardAt }: Held): Renewed =>
+    [key, owner, version, base, patch, Math.max(0, Math.round(this.env.mono() - heardAt))];
 
   private others(): string[] {
     return this.membership.alive().filter((member) => member.id !== this.membership.self.id).map((member) => member.address);
   }
+  /**
+   * Others to talk to. In a large fleet a few only, so that connections don't grow with it: those at fixed steps round
+   * the ring of ids, near and far, so that each is talked to by as many as it talks to.
+   */
+  private partners(): string[] {
+    const ring = this.membership.alive();
+    const steps = ring.length - 1;
+    if (steps <= Constants.newsPartners) return this.others();
+    const own = ring.findIndex((member) => member.id === this.membership.self.id);
+    const chosen = new Set<number>();
+    for (let at = 1; at <= Constants.newsPartners; at += 1) {
+      let step = Math.round(steps ** (at / Constants.newsPartners));
+      while (chosen.has(step)) step = (step % steps) + 1;
+      chosen.add(step);
+    }
+    return [...chosen].map((step) => ring[(own + step) % ring.length].address);
+  }
+  /** The next of them, each in its turn. */
   private some(count: number): string[] {
-    const from = this.others();
+    const there = this.partners();
     const chosen: string[] = [];
-    while (chosen.length < count && from.length > 0) chosen.push(...from.splice(Math.floor(this.env.random() * from.length), 1));
+    while (chosen.length < count && chosen.length < there.length) {
+      if (this.turn.length === 0) this.turn = this.shuffled([...there]);
+      const address = this.turn.pop()!;
+      if (there.includes(address) && !chosen.includes(address)) chosen.push(address);
+    }
     return chosen;
   }
+  private shuffled(list: string[]): string[] {
+    for (let at = list.length - 1; at > 0; at -= 1) {
+      const other = Math.floor(this.env.random() * (at + 1));
+      [list[at], list[other]] = [list[other], list[at]];
+    }
+    return list;
+  }
 
   private *pushLoop(): Task<void> {
     let toldFrame = 0;
     for (;;) {
+      yield* Csp.take(this.stirred);
       yield* EnvTools.takeWithin(this.env, this.wake, Constants.newsFlushMs);
       const frameIndex = this.frame?.index ?? 0;
       if (this.fresh.size === 0 && frameIndex === toldFrame) continue;
-      const facts = [...this.fresh].map((key) => this.facts.get(key)).filter((held): held is Held => !!held).map(this.bare);
+      const push: Push = { facts: [], renewed: [], frameIndex, group: this.frame?.group };
+      for (const [key, how] of this.fresh) {
+        const held = this.facts.get(key)!;
+        if (how === "whole") push.facts.push(this.bare(held));
+        else push.renewed.push(this.renewal(held));
+      }
       this.fresh.clear();
       toldFrame = frameIndex;
-      for (const address of this.some(Constants.newsFanout)) {
-        const news = this;
-        Csp.go(this.env.scope, "push", function* () {
-          yield* news.rpc.ask(address, "news.push", { facts, frameIndex, group: news.frame?.group }, 500);
-        });
-      }
+      this.rpc.tell(this.some(Constants.newsFanout), "news.push", push);
     }
   }
   private *digestLoop(): Task<void> {
@@ -167,11 +259,11 @@
       for (const [key, held] of this.facts) {
         const keptFor = held.gone ? Constants.tombstoneMs : held.grantMs;
         if (now - held.heardAt > keptFor) {
-          if (held.gone) this.facts.delete(key);
+          if (held.gone) this.forget(held);
           else {
             if (key.startsWith("replica/")) this.env.log(1203, { replica: key });
             // remembered as it was, so that an older copy elsewhere is not taken for news
-            if (now - held.heardAt > Constants.tombstoneMs) this.facts.delete(key);
+            if (now - held.heardAt > Constants.tombstoneMs) this.forget(held);
             this.notify();
           }
         }
@@ -179,22 +271,64 @@
       yield* this.compareWithOne();
     }
   }
-  /** Compares digests with one member; true if it answered. @example yield* news.compareWithOne() */
+  /**
+   * Compares digests with one member, and mends both ways what differs; true if it answered. A single sum tells
+   * whether anything differs, sums by bucket tell where, and only the facts of those buckets are gone through.
+   * @example yield* news.compareWithOne()
+   */
   *compareWithOne(): Task<boolean> {
     const [address] = this.some(1);
     if (!address) return false;
     const askedAt = this.env.mono();
-    const digest: Record<string, number> = {};
-    for (const held of this.facts.values()) digest[held.key] = held.gone ? Number.MAX_SAFE_INTEGER : held.version;
-    const reply = yield* this.rpc.ask(address, "news.digest", { digest, frameIndex: this.frame?.index ?? 0, group: this.frame?.group }, 600);
+    const digest: Digest = {
+      sum: News.sum(this.sums), memberSum: News.sum(this.membership.sums()), stale: this.stale(), frameIndex: this.frame?.index ?? 0, group: this.frame?.group,
+    };
+    const reply = yield* this.rpc.ask<Compared>(address, "news.digest", digest, 600);
     if (!reply.ok) return false;
-    for (const fact of reply.value.facts) this.keep(fact, fact.grantMs, fact.ageMs);
-    const wanted = (reply.value.want as string[]).map((key) => this.facts.get(key)).filter((held): held is Held => !!held).map(this.bare);
-    if (wanted.length > 0) yield* this.rpc.ask(address, "news.push", { facts: wanted, frameIndex: this.frame?.index ?? 0, group: this.frame?.group }, 500);
+    for (const renewed of reply.value.renewed) this.renew(renewed);
+    if (reply.value.memberSums) yield* this.mendMembers(address, reply.value.memberSums);
+    if (reply.value.sums) yield* this.mend(address, reply.value.sums);
     yield* this.fetchIfNewer(address, reply.value.frameIndex);
     this.comparedAt = askedAt;
     return true;
   }
+  /** Facts whose renewals have not come for long: they are asked after before their grant ends. */
+  private stale(): Record<string, number> {
+    const now = this.env.mono();
+    const stale: Record<string, number> = {};
+    let count = 0;
+    for (const { key, version, gone, heardAt, grantMs } of this.facts.values()) {
+      const age = now - heardAt;
+      if (gone || age < grantMs * Constants.staleShare || age > grantMs) continue;
+      stale[key] = version;
+      if ((count += 1) >= Constants.staleAsked) break;
+    }
+    return stale;
+  }
+  private static sum = (sums: number[]): number => sums.reduce((sum, each, bucket) => (sum ^ Math.imul(each, 2 * bucket + 1)) >>> 0, 0);
+  /** Who is there, passed on by datagrams a few times only: what was lost of it is found here. */
+  private *mendMembers(address: string, theirs: number[]): Task<void> {
+    const buckets = this.membership.sums().flatMap((sum, bucket) => (sum === theirs[bucket] ? [] : [bucket]));
+    const body = { buckets, standing: this.membership.standing(buckets) };
+    const reply = yield* this.rpc.ask<{ updates: Member[]; want: string[] }>(address, "members.differ", body, 600);
+    if (!reply.ok) return;
+    this.membership.told(reply.value.updates);
+    const updates = this.membership.infos(reply.value.want);
+    if (updates.length > 0) this.rpc.tell([address], "members.told", { updates });
+  }
+  private *mend(address: string, theirs: number[]): Task<void> {
+    const buckets = this.sums.flatMap((sum, bucket) => (sum === theirs[bucket] ? [] : [bucket]));
+    const standing = Object.fromEntries(this.inBuckets(buckets).map((held): [string, Standing] => [held.key, [held.base, held.version, held.gone ? 1 : 0]]));
+    const reply = yield* this.rpc.ask<{ facts: Told[]; want: string[] }>(address, "news.differ", { buckets, standing }, 600);
+    if (!reply.ok) return;
+    for (const fact of reply.value.facts) this.keep(fact, fact.grantMs, fact.ageMs);
+    const facts = reply.value.want.map((key) => this.facts.get(key)).filter((held): held is Held => !!held).map(this.bare);
+    if (facts.length > 0) this.rpc.tell([address], "news.push", { facts, renewed: [], frameIndex: this.frame?.index ?? 0, group: this.frame?.group } satisfies Push);
+  }
+  private inBuckets(buckets: number[]): Held[] {
+    const wanted = new Set(buckets);
+    return [...this.facts.values()].filter((held) => wanted.has(News.bucketOf(held.key)));
+  }
   private *fetchIfNewer(address: string, index: number): Task<void> {
     if (index <= (this.frame?.index ?? 0) || this.fetching) return;
     this.fetching = true;
@@ -209,30 +343,50 @@
       this.fetching = false;
     }
   }
-  private *pushed(body: { facts: Told[]; frameIndex: number }, sender: string): Task<ReturnType<typeof Fault.ok>> {
-    let news = false;
-    for (const fact of body.facts) news = this.keep(fact, fact.grantMs, fact.ageMs) || news;
-    if (news && body.facts.some((fact) => fact.gone)) Csp.offer(this.wake, true);
+  private *pushed(body: Push, sender: string): Task<ReturnType<typeof Fault.ok>> {
+    let urgent = false;
+    for (const fact of body.facts) {
+      const first = !this.facts.has(fact.key);
+      if (this.keep(fact, fact.grantMs, fact.ageMs) && (first || fact.gone)) urgent = true;
+    }
+    for (const renewed of body.renewed) this.renew(renewed);
+    if (urgent) Csp.offer(this.wake, true);
     const address = this.membership.find(sender)?.address;
     if (address) yield* this.fetchIfNewer(address, body.frameIndex);
     return Fault.ok(true);
   }
-  private *compared(body: { digest: Record<string, number>; frameIndex: number }, sender: string): Task<ReturnType<typeof Fault.ok>> {
+  private renew([key, owner, version, base, patch, ageMs]: Renewed): void {
+    const known = this.facts.get(key);
+    // without its base it can't be taken: the digests bring that
+    if (known && !known.gone && known.base === base) this.keep({ key, owner, version, gone: false, base, whole: known.whole, patch }, known.grantMs, ageMs);
+  }
+  private *compared(body: Digest, sender: string): Task<Result<Compared>> {
     this.comparedAt = this.env.mono();
-    const facts = [...this.facts.values()]
-      .filter((held) => (held.gone ? Number.MAX_SAFE_INTEGER : held.version) > (body.digest[held.key] ?? -1))
-      .map(this.bare);
-    const want = Object.keys(body.digest).filter((key) => {
-      const held = this.facts.get(key);
-      return !held || (held.gone ? Number.MAX_SAFE_INTEGER : held.version) < body.digest[key];
-    });
     const address = this.membership.find(sender)?.address;
     if (address && body.frameIndex > (this.frame?.index ?? 0)) {
       const news = this;
       Csp.go(this.env.scope, "fetch", () => news.fetchIfNewer(address, body.frameIndex));
     }
-    return Fault.ok({ facts, want, frameIndex: this.frame?.index ?? 0 });
+    const memberSums = this.membership.sums();
+    const newer = Object.entries(body.stale).flatMap(([key]) => this.facts.get(key) ?? []).filter((held) => !held.gone && held.version > body.stale[held.key]);
+    return Fault.ok({
+      renewed: newer.map(this.renewal), frameIndex: this.frame?.index ?? 0, ...(body.sum === News.sum(this.sums) ? {} : { sums: this.sums }),
+      ...(body.memberSum === News.sum(memberSums) ? {} : { memberSums }),
+    });
+  }
+  private *differed(body: { buckets: number[]; standing: Record<string, Standing> }): Task<Result<{ facts: Told[]; want: string[] }>> {
+    const later = (left: Standing, right: Standing): boolean => left[2] > right[2] || (left[2] === right[2] && left[1] > right[1]);
+    const ours = new Map(this.inBuckets(body.buckets).map((held) => [held.key, held]));
+    const standingOf = (held: Held): Standing => [held.base, held.version, held.gone ? 1 : 0];
+    const facts = [...ours.values()].filter((held) => !body.standing[held.key] || (News.differ(standingOf(held), body.standing[held.key]) && later(standingOf(held), body.standing[held.key])));
+    const want = Object.keys(body.standing).filter((key) => {
+      const held = ours.get(key);
+      return !held || (News.differ(standingOf(held), body.standing[key]) && later(body.standing[key], standingOf(held)));
+    });
+    return Fault.ok({ facts: facts.map(this.bare), want });
   }
+  /** Versions of one base need no mending: the next renewal does. */
+  private static differ = (left: Standing, right: Standing): boolean => left[2] !== right[2] || (left[2] === 0 && left[0] !== right[0]);
   /** The frame, if ours is newer; without its manifest, by far the largest part, where the asker has that. */
   private *fetched(body: Have): Task<Result<FrameTold | null>> {
     if (!this.frame || this.frame.index <= body.have) return Fault.ok(null);
--- a/src/wire/rpc.ts
+++ b/src/wire/rpc.ts
@@ -6,9 +6,11 @@
 
 /* eslint-disable @typescript-eslint/no-explicit-any */
 export type Handler = (body: any, sender: string) => Task<Result<unknown>>;
+/** The correlation of what wants no reply. */
+const told = 0;
 type Waiting = { reply: Chan<Result<unknown>>; step: string };
 type Connecting = { done: Chan<true>; failed: { ok: false; fault: Fault } | undefined };
-type Connection = { link: Link; waiting: Map<number, Waiting>; lastHeard: number };
+type Connection = { link: Link; waiting: Map<number, Waiting>; lastHeard: number; usedAt: number };
 
 /**
  * Asks and replies between members, over one connection a pair.
@@ -26,6 +28,7 @@
   private correlation = 0;
   dropped = 0;
   asked = 0;
+  told = 0;
   constructor(
     private readonly env: Env,
     private readonly cluster: string,
@@ -76,6 +79,10 @@
           rpc.env.log(1004, { task: `ask ${envelope.verb}`, error: String((error as Error).stack ?? error) });
           result = Fault.fail("internal", envelope.verb, rpc.self, String(error));
         }
+        if (envelope.correlation === told) {
+          if (!result.ok) rpc.dropped += 1;
+          return;
+        }
         link.send(Wire.encode({
           kind: result.ok ? "reply" : "fault", correlation: envelope.correlation, cluster: rpc.cluster,
           verb: envelope.verb, sender: rpc.self, body: result.ok ? result.value : result.fault,
@@ -104,7 +111,7 @@
       making.done.close();
       return linked;
     }
-    const connection: Connection = { link: linked.value, waiting: new Map(), lastHeard: this.env.mono() };
+    const connection: Connection = { link: linked.value, waiting: new Map(), lastHeard: this.env.mono(), usedAt: this.env.mono() };
     this.connections.set(address, connection);
     making.done.close();
     const rpc = this;
@@ -136,6 +143,38 @@
     connection.waiting.clear();
   }
 
+  /**
+   * Tells members something that wants no reply, and may be lost with its connection.
+   * @example rpc.tell([address], "news.push", push);
+   */
+  tell(addresses: string[], verb: string, body: unknown): void {
+    const rpc = this;
+    const frame = Wire.encode({ kind: "ask", correlation: told, cluster: this.cluster, verb, sender: this.self, body });
+    const send = (address: string, connection: Connection): void => {
+      rpc.told += 1;
+      connection.usedAt = rpc.env.mono();
+      if (!connection.link.send(frame)) rpc.forget(address, connection);
+    };
+    for (const address of addresses) {
+      const known = this.connections.get(address);
+      if (known) send(address, known);
+      else
+        Csp.go(this.env.scope, `tell ${verb}`, function* () {
+          const connected = yield* rpc.connection(address);
+          if (connected.ok) send(address, connected.value);
+        });
+    }
+  }
+  /** Ends the connection to a member that may not be there, unless a reply is waited for: that tells by itself. @example rpc.drop(address); */
+  drop(address: string): void {
+    const known = this.connections.get(address);
+    if (known && known.waiting.size === 0) this.forget(address, known);
+  }
+  /** Ends connections that were not used for so long. @example rpc.sweep(30_000); */
+  sweep(idleMs: number): void {
+    const before = this.env.mono() - idleMs;
+    for (const [address, connection] of this.connections) if (connection.usedAt < before) this.drop(address);
+  }
   /** Asks a member; the fault says whether anything may have been sent. No reply is waited for once it is moot. @example yield* rpc.ask(address, "status", {}, 500) */
   *ask<T = any>(address: string, verb: string, body: unknown, timeoutMs: number, moot?: () => boolean): Task<Result<T>> {
     const startedAt = this.env.mono();
@@ -143,7 +182,8 @@
     const connected = yield* this.connection(address);
     if (!connected.ok) return connected;
     const connection = connected.value;
-    const correlation = (this.correlation = (this.correlation + 1) % 0xffffffff);
+    connection.usedAt = this.env.mono();
+    const correlation = (this.correlation = 1 + (this.correlation % 0xfffffffe));
     const waiting: Waiting = { reply: Csp.chan(1), step: verb };
     connection.waiting.set(correlation, waiting);
     const sent = connection.link.send(Wire.encode({ kind: "ask", correlation, cluster: this.cluster, verb, sender: this.self, body }));
