--- a/src/cli/scaleCommand.ts
+++ b/src/cli/scaleCommand.ts
@@ -3,6 +3,7 @@
 import { ChoiceScale } from "../tools/scale/choiceScale";
 import { ControlScale } from "../tools/scale/controlScale";
 import { Experiment } from "../tools/scale/experiment";
+import { IdleRun } from "../tools/scale/idleRun";
 import { LossScale, Loss } from "../tools/scale/lossScale";
 import { ManifestScale } from "../tools/scale/manifestScale";
 import { MemberScale } from "../tools/scale/memberScale";
@@ -64,6 +65,30 @@
         say(LossScale.text(await LossScale.measure(kind, members, replicas, seconds * 1000, whole(options.seed, seedBound))));
         process.exit(0);
       });
+    program
+      .command("scale idle")
+      .describe("Real processes of each program while nobody calls: processor, wake-ups, memory, descriptors.")
+      .option("--controls", "Control machines", 3)
+      .option("--stores", "Store machines", 3)
+      .option("--ingresses", "Ingresses, each with its agent inside", 4)
+      .option("--replicas", "Replicas that announce themselves", 17)
+      .option("--seconds", "How long", 20)
+      .option("--port", "First port", 21_000)
+      .action(async (options: Record<string, unknown>) => {
+        const few = (name: string, least: number): number => whole(options[name], { name, least, most: 40, why: "each is a process of about 80 MB" });
+        const run = new IdleRun({
+          controls: few("controls", 3), stores: few("stores", 1), ingresses: few("ingresses", 1),
+          replicas: whole(options.replicas, { name: "replicas", least: 0, most: 500, why: "one tool announces them all" }),
+          seconds: whole(options.seconds, { name: "seconds", least: 5, most: 600, why: "others use this machine" }),
+          port: whole(options.port, { name: "port", least: 1024, most: 65_000, why: "two ports a process follow it" }),
+        }, say);
+        process.on("SIGINT", () => {
+          run.end();
+          process.exit(130);
+        });
+        await run.run();
+        process.exit(0);
+      });
     program
       .command("scale whole")
       .describe("All members and replicas at once: hollow members over the real wire on loopback addresses, in a few processes.")
--- a/src/tools/scale/hollowMember.ts
+++ b/src/tools/scale/hollowMember.ts
@@ -40,10 +40,11 @@
     const { node } = this;
     const host = Host.of(node);
     EnvTools.keep(node.env, node.env.scope, "announce", function* () {
+      yield* EnvTools.sleep(node.env, announceEveryMs * node.env.random()); // no two in step
       for (let turn = 0; ; turn += 1) {
-        for (const [at, id] of ids.entries()) {
-          const port = 10_000 + (at % 50_000);
-          const announcement = { id, address: `10.0.0.1:${port}`, pool: `pool-${at % 9}`, district, version: "v1", capacity: 16, active: turn % 16, waiting: 0, instance: "1" };
+        for (const id of ids) {
+          const number = Number(id.replace(/^\D+/, ""));
+          const announcement = { id, address: `10.${number >> 8}.${number & 255}.1:9000`, pool: `pool-${number % 9}`, district, version: "v1", capacity: 16, active: turn % 16, waiting: 0, instance: "1" };
           yield* host.announce(announcement);
           yield* EnvTools.sleep(node.env, announceEveryMs / ids.length);
         }
--- a/src/tools/scale/memberScale.ts
+++ b/src/tools/scale/memberScale.ts
@@ -3,14 +3,14 @@
 import { HollowWorld } from "./hollowWorld";
 
 const bound = { name: "members", least: 10, most: 1000, why: "virtual time holds all of them in one process" };
-const settleMs = 6000;
+const settleMs = (members: number): number => 6000 + 180 * members; // who joined is passed on in datagrams for so long
 const overMs = 10_000;
 
 async function measure(members: number, replicas: number, seed: number): Promise<Record<string, number>> {
   const before = Heap.used();
   const hollow = new HollowWorld({ members, replicas, zones: 25, regions: 7, seed });
   const allKnown = await hollow.boot(120_000);
-  await hollow.world.run(settleMs);
+  await hollow.world.run(settleMs(members));
   const processor = Processor.now();
   const suspicions = hollow.suspicions;
   const spent = await hollow.over(overMs);
--- a/src/tools/scale/wholeRun.ts
+++ b/src/tools/scale/wholeRun.ts
@@ -6,6 +6,7 @@
 const zones = 25;
 const regions = 7;
 const lookEveryMs = 1000;
+const startEveryMs = 40; // a member in each process: all at once would only show how long they need to warm up
 const heapShare = 0.8; // of a process's part of the memory, which its heap may take
 
 /**
@@ -32,7 +33,7 @@
       child.on("message", (said) => (this.said[part] = said as WorkerSaid));
       child.on("exit", (code, signal) => (this.ended ??= `process ${part + 1} ended with ${signal ?? code}`));
       const share = (at: number): number => Math.floor((members * at) / processes);
-      const order: WorkerOrder = { from: share(part), to: share(part + 1), members, replicas, zones, regions, startEveryMs: 5 };
+      const order: WorkerOrder = { from: share(part), to: share(part + 1), members, replicas, zones, regions, startEveryMs };
       child.send({ tag: "start", order });
     }
   }
