A change by item reaches every member as that item, not as the whole manifest

Whoever takes a frame keeps the last 64 steps of the manifest; who has the version a step begins with gets the steps. Ruled out: steps in the control log's frame, which all would carry for ever; whole manifests and recovered groups go whole.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -29,6 +29,7 @@
 
   // --- news ---
   newsFlushMs: 250, // ms; not urgent news waits this long for company: four times a second, whatever comes
+  manifestSteps: 64, // changes by item; kept for those who have the version before: a minute of them at 91,000 a day
   newsBuckets: 64, // ranges of facts; compared one by one only where the sum of all differs
   newsPartners: 24, // members; in a larger fleet one talks to these only, so that the connections of a node stay few
   staleShare: 0.45, // of a grant; a fact not renewed for so long, two announcements and the way of news, is asked after with each digest
--- a/src/control/manifests.ts
+++ b/src/control/manifests.ts
@@ -8,13 +8,31 @@
 };
 const bared = new WeakMap<Manifest, Manifest>();
 const bareItem = <T extends { origin?: unknown }>({ origin: _told, ...rest }: T): Omit<T, "origin"> => rest;
+const bareItems = new WeakMap<object, object>();
+/** The same object for the same item, so that what stayed as it was is known without comparing. */
+function bareKept<T extends { origin?: unknown }>(item: T): Omit<T, "origin"> {
+  let bare = bareItems.get(item) as Omit<T, "origin"> | undefined;
+  if (!bare) {
+    bare = bareItem(item);
+    bareItems.set(item, bare);
+  }
+  return bare;
+}
+/** What became otherwise among named items; undefined where the order did too. */
+function between<T>(from: Record<string, T>, to: Record<string, T>): { upsert: Record<string, T>; remove: string[] } | undefined {
+  const remove = Object.keys(from).filter((name) => !Object.hasOwn(to, name));
+  const changed = Object.entries(to).filter(([name, item]) => from[name] !== item);
+  const upsert = Object.fromEntries(changed);
+  const order = Object.keys(merged(from, upsert, remove));
+  return Object.keys(to).every((name, at) => order[at] === name) ? { upsert, remove } : undefined;
+}
 const mapped = <T, R>(items: Record<string, T>, map: (item: T) => R): Record<string, R> =>
   Object.fromEntries(Object.entries(items).map(([name, item]) => [name, map(item)]));
 /** An upserted item stays where it stood; a new one comes last. */
 function merged<T>(items: Record<string, T>, upsert: Record<string, T> = {}, remove: string[] = []): Record<string, T> {
-  const gone = new Set(remove);
-  const staying = Object.fromEntries(Object.entries(items).filter(([name]) => !gone.has(name)));
-  return { ...staying, ...upsert };
+  const next = { ...items };
+  for (const name of remove) delete next[name];
+  return Object.assign(next, upsert);
 }
 function bindingFaults(name: string, binding: Binding, pools: Record<string, Pool> | undefined): string[] {
   const faults: string[] = [];
@@ -55,12 +73,30 @@
     const limits = patch.limits ? { limits: patch.limits } : {};
     return { ...doc, bindings: merged(doc.bindings, patch.upsert.bindings, patch.remove.bindings), ...pools, ...limits };
   },
+  /**
+   * The change by item that makes one manifest of another, where few of its items became otherwise; those that stayed
+   * are known by being the same objects.
+   * @example Manifests.between(former, next)?.upsert.bindings
+   */
+  between(from: Manifest, to: Manifest): ManifestPatch | undefined {
+    const rest = ({ bindings: _bindings, pools: _pools, limits: _limits, ...others }: Manifest): string => JSON.stringify(others);
+    if (rest(from) !== rest(to) || (from.pools === undefined) !== (to.pools === undefined) || (from.limits && !to.limits)) return undefined;
+    const bindings = between(from.bindings, to.bindings);
+    const pools = between(from.pools ?? {}, to.pools ?? {});
+    if (!bindings || !pools) return undefined;
+    const touched = Object.keys(bindings.upsert).length + Object.keys(pools.upsert).length;
+    if (touched * 4 > Object.keys(to.bindings).length + Object.keys(to.pools ?? {}).length) return undefined;
+    return {
+      upsert: { bindings: bindings.upsert, ...(to.pools ? { pools: pools.upsert } : {}) }, remove: { bindings: bindings.remove, pools: pools.remove },
+      ...(to.limits ? { limits: to.limits } : {}),
+    };
+  },
   /** Without the operator's own form, which only control keeps; the same object for the same manifest. @example Manifests.bare(doc).origin // undefined */
   bare(doc: Manifest): Manifest {
     let bare = bared.get(doc);
     if (!bare) {
       const { pools, ...rest } = bareItem(doc);
-      bare = { ...rest, bindings: mapped(doc.bindings, bareItem) as Record<string, Binding>, ...(pools ? { pools: mapped(pools, bareItem) } : {}) };
+      bare = { ...rest, bindings: mapped(doc.bindings, bareKept) as Record<string, Binding>, ...(pools ? { pools: mapped(pools, bareKept) } : {}) };
       bared.set(doc, bare);
     }
     return bare;
--- a/src/membership/news.ts
+++ b/src/membership/news.ts
@@ -5,6 +5,7 @@
 import { Hash } from "../core/hash";
 import { Rpc } from "../wire/rpc";
 import { ControlFrame, ControlState } from "../control/controlState";
+import { ManifestPatch, Manifests } from "../control/manifests";
 import { Member } from "./member";
 import { Membership, MemberStanding } from "./membership";
 
@@ -14,7 +15,9 @@
 type Layers = { base: number; whole: unknown; patch: Record<string, unknown> };
 type Held = Fact & Layers & { heardAt: number; grantMs: number; mark: number };
 type Have = { have: number; group: string; manifest: number };
-type FrameTold = Omit<ControlFrame, "manifest"> & { manifest?: ControlFrame["manifest"] };
+/** From one version of the manifest to the next, item by item. */
+type Step = { from: number; to: number; patch: ManifestPatch };
+type FrameTold = Omit<ControlFrame, "manifest"> & { manifest?: ControlFrame["manifest"]; steps?: Step[] };
 /** A fact on its way carries its age, so that passing it on never makes it younger. */
 type Told = Omit<Fact, "value"> & Layers & { grantMs: number; ageMs: number };
 /** A newer version of a fact whose base the other will have: only what is otherwise goes along. */
@@ -42,6 +45,7 @@
   private wake: Chan<true> = Csp.sliding(1); // and it is urgent
   private fetching = false;
   private turn: string[] = [];
+  private steps: Step[] = [];
   private watchers: (() => void)[] = [];
   frame: ControlFrame | undefined;
   /** When digests were last compared with anybody, by either side. */
@@ -150,9 +154,10 @@
     return known ? this.env.mono() - known.heardAt : Infinity;
   }
   /** Takes a newer control frame, never an older one. @example news.offerFrame(frame); */
-  offerFrame(frame: ControlFrame): boolean {
+  offerFrame(frame: ControlFrame, steps?: Step[]): boolean {
     const known = this.frame;
     if (known && (frame.index <= known.index || (frame.group !== known.group && !ControlState.supersedes(frame.group, known.group)))) return false;
+    this.keepSteps(known, frame, steps);
     this.frame = frame;
     this.frameAt = this.env.mono();
     this.env.point(21);
@@ -162,6 +167,18 @@
     return true;
   }
 
+  /** The last steps of the manifest, for those who have what they begin with. */
+  private keepSteps(known: ControlFrame | undefined, frame: ControlFrame, steps: Step[] | undefined): void {
+    if (known && known.group === frame.group && known.manifest.version === frame.manifest.version) return;
+    if (!known || known.group !== frame.group) this.steps = [];
+    else if (steps) this.steps.push(...steps);
+    else {
+      const patch = Manifests.between(known.manifest.doc, frame.manifest.doc);
+      if (patch) this.steps.push({ from: known.manifest.version, to: frame.manifest.version, patch });
+      else this.steps = [];
+    }
+    this.steps.splice(0, this.steps.length - Constants.manifestSteps);
+  }
   /** What two members compare: the same where both can take the same renewals. */
   private static markOf = (fact: { key: string; base: number; gone: boolean }): number => Hash.number(`${fact.key}|${fact.gone ? "gone" : fact.base}`);
   private static bucketOf = (key: string): number => Hash.number(key) % Constants.newsBuckets;
@@ -337,8 +354,9 @@
       const have: Have = { have: known?.index ?? 0, group: known?.group ?? "", manifest: known?.manifest.version ?? -1 };
       const fetched = yield* this.rpc.ask<FrameTold | null>(address, "frame.fetch", have, 1500);
       if (!fetched.ok || !fetched.value) return;
-      const manifest = fetched.value.manifest ?? known?.manifest;
-      if (manifest) this.offerFrame({ ...fetched.value, manifest });
+      const { steps, ...frame } = fetched.value;
+      const manifest = frame.manifest ?? (steps && known ? News.stepped(known.manifest, steps) : known?.manifest);
+      if (manifest) this.offerFrame({ ...frame, manifest }, steps);
     } finally {
       this.fetching = false;
     }
@@ -387,11 +405,18 @@
   }
   /** Versions of one base need no mending: the next renewal does. */
   private static differ = (left: Standing, right: Standing): boolean => left[2] !== right[2] || (left[2] === 0 && left[0] !== right[0]);
+  private static stepped(manifest: ControlFrame["manifest"], steps: Step[]): ControlFrame["manifest"] {
+    return { version: steps[steps.length - 1].to, doc: steps.reduce((doc, step) => Manifests.patched(doc, step.patch), manifest.doc) };
+  }
   /** The frame, if ours is newer; without its manifest, by far the largest part, where the asker has that. */
   private *fetched(body: Have): Task<Result<FrameTold | null>> {
     if (!this.frame || this.frame.index <= body.have) return Fault.ok(null);
     const { manifest, ...rest } = this.frame;
-    const theirs = rest.group === body.group && manifest.version === body.manifest;
-    return Fault.ok(theirs ? rest : this.frame);
+    if (rest.group !== body.group) return Fault.ok(this.frame);
+    if (manifest.version === body.manifest) return Fault.ok(rest);
+    const first = this.steps.findIndex((step) => step.from === body.manifest);
+    const steps = first < 0 ? [] : this.steps.slice(first);
+    const items = steps.reduce((sum, step) => sum + Object.keys(step.patch.upsert.bindings ?? {}).length, 0);
+    return Fault.ok(steps.length === 0 || items * 2 > Object.keys(manifest.doc.bindings).length ? this.frame : { ...rest, steps });
   }
 }
--- a/src/tools/scale/hollowWorld.ts
+++ b/src/tools/scale/hollowWorld.ts
@@ -1,4 +1,5 @@
 import { ControlFrame, ControlState } from "../../control/controlState";
+import { Manifests } from "../../control/manifests";
 import { Csp } from "../../csp/csp";
 import { SimDisk } from "../../sim/simDisk";
 import { SimWorld } from "../../sim/simWorld";
@@ -95,8 +96,19 @@
   }
   /** Offers a frame with so many bindings at one member; how long until all have it. @example await hollow.spread(1000, 2, 10_000) */
   async spread(bindings: number, index: number, withinMs: number): Promise<number | undefined> {
-    const frame = HollowWorld.frame(bindings, index);
-    this.alive()[0].node.news.offerFrame(frame);
+    this.alive()[0].node.news.offerFrame(HollowWorld.frame(bindings, index));
+    return this.inForce(index, withinMs);
+  }
+  /** The same for a change of one binding of the frame before. @example await hollow.spreadChange(3, 10_000) */
+  async spreadChange(index: number, withinMs: number): Promise<number | undefined> {
+    const { news } = this.alive()[0].node;
+    const frame = news.frame!;
+    const changed = { ...HollowWorld.binding(0), deadlineMs: 10_000 + index };
+    const doc = Manifests.patched(frame.manifest.doc, { upsert: { bindings: { "tenant-0": changed } }, remove: {} });
+    news.offerFrame({ ...frame, index, manifest: { version: index, doc } });
+    return this.inForce(index, withinMs);
+  }
+  private inForce(index: number, withinMs: number): Promise<number | undefined> {
     return this.until(withinMs, () => this.alive().every((member) => (member.node.news.frame?.index ?? 0) >= index));
   }
   /** A control frame with so many bindings. @example HollowWorld.frame(12_000, 7) */
--- a/src/tools/scale/manifestScale.ts
+++ b/src/tools/scale/manifestScale.ts
@@ -5,25 +5,35 @@
 const rounds = 3;
 const waitMs = 10_000;
 
-/** One configuration after another at one member: what it costs until all have it. */
-async function measure(bindings: number, seed: number): Promise<Record<string, number>> {
-  const hollow = new HollowWorld({ members, replicas: 0, zones: 25, regions: 7, seed });
-  await hollow.boot(60_000);
-  await hollow.world.run(3000);
-  const quiet = await hollow.over(10_000);
+type Spread = { bytes: number; processorMs: number; inForceMs: number };
+
+/** One configuration after another at one member: what each costs a member until all have it. */
+async function spread(hollow: HollowWorld, idleBytes: number, one: (round: number) => Promise<number | undefined>): Promise<Spread> {
   const times: number[] = [];
   const processor = Processor.now();
   const before = hollow.placed.map((each) => each.meter.copy());
   const from = hollow.world.now;
   for (let round = 1; round <= rounds; round += 1) {
-    times.push((await hollow.spread(bindings, round, waitMs)) ?? NaN);
+    times.push((await one(round)) ?? NaN);
     await hollow.world.run(500);
   }
   const bytes = hollow.placed.reduce((sum, each, at) => sum + each.meter.since(before[at]).bytes, 0) / members;
-  const idle = (quiet.bytes * (hollow.world.now - from)) / 1000;
-  hollow.end();
+  const idle = (idleBytes * (hollow.world.now - from)) / 1000;
   return { bytes: Math.max(0, bytes - idle) / rounds, processorMs: Processor.since(processor) / members / rounds, inForceMs: Math.max(...times) };
 }
+async function measure(bindings: number, seed: number): Promise<Record<string, number>> {
+  const hollow = new HollowWorld({ members, replicas: 0, zones: 25, regions: 7, seed });
+  await hollow.boot(60_000);
+  await hollow.world.run(12_000);
+  const quiet = await hollow.over(10_000);
+  const whole = await spread(hollow, quiet.bytes, (round) => hollow.spread(bindings, round, waitMs));
+  const one = await spread(hollow, quiet.bytes, (round) => hollow.spreadChange(rounds + round, waitMs));
+  hollow.end();
+  return {
+    wholeBytes: whole.bytes, wholeProcessorMs: whole.processorMs, oneBytes: one.bytes, oneProcessorMs: one.processorMs,
+    inForceMs: Math.max(whole.inForceMs, one.inForceMs),
+  };
+}
 
 /**
  * A configuration on its way to every member, whole, against the bindings in it.
@@ -38,8 +48,11 @@
     unit: "binding", sizes: [100, 1000, 3000, 6000],
     bound: { name: "bindings", least: 1, most: 60_000, why: "an operator's manifest is refused past 8 MB, which is about as many" },
     metrics: {
-      bytes: { what: "bytes put out a member a change", counted: true },
-      processorMs: { what: "ms of processor a member a change, the simulator's share among them", counted: false },
+      wholeBytes: { what: "bytes put out a member a change of the whole", counted: true },
+      oneBytes: { what: "bytes put out a member a change of one binding", counted: true },
+      wholeProcessorMs: { what: "ms of processor a member a change of the whole, the simulator's share among them", counted: false },
+      oneProcessorMs: { what: "ms of processor a member a change of one binding, the simulator's share among them", counted: false },
+      inForceMs: { what: "ms until every member has it, at most", counted: true },
     },
     measure,
   } as Experiment,
--- /dev/null
+++ b/test/manifestSteps.test.ts
@@ -0,0 +1,62 @@
+import { Manifest } from "../src/control/controlState";
+import { Manifests } from "../src/control/manifests";
+import { HollowWorld } from "../src/tools/scale/hollowWorld";
+
+const doc = (count: number): Manifest => HollowWorld.frame(count, 1).manifest.doc;
+const versions = (hollow: HollowWorld): number[] => hollow.alive().map((member) => member.node.news.frame?.manifest.version ?? 0);
+const docs = (hollow: HollowWorld): Set<string> => new Set(hollow.alive().map((member) => JSON.stringify(member.node.news.frame?.manifest.doc)));
+
+test("the change between two manifests, applied to the first, gives the second; none is told where it would be no shorter", () => {
+  const from = doc(40);
+  const patch = { upsert: { bindings: { "tenant-3": HollowWorld.binding(99), more: HollowWorld.binding(7) } }, remove: { bindings: ["tenant-5"] } };
+  const to = Manifests.patched(from, patch);
+  const found = Manifests.between(from, to)!;
+  expect(Object.keys(found.upsert.bindings!)).toEqual(["tenant-3", "more"]);
+  expect(JSON.stringify(Manifests.patched(from, found))).toBe(JSON.stringify(to));
+  // the same by an operator's own form: what only control keeps is taken off, and items stay the same objects
+  const told = Manifests.patched({ ...from, origin: "x" }, { upsert: { bindings: { more: { ...HollowWorld.binding(7), origin: "y" } } }, remove: {} });
+  expect(Object.keys(Manifests.between(Manifests.bare({ ...from, origin: "x" }), Manifests.bare(told))!.upsert.bindings!)).toEqual(["more"]);
+  // another order, other settings beside the items, or most of it otherwise: whole
+  const turned: Manifest = { bindings: Object.fromEntries(Object.entries(from.bindings).reverse()) };
+  expect(Manifests.between(from, turned)).toBeUndefined();
+  expect(Manifests.between(from, { ...from, clock: { deltaMs: 1, epsilonMs: 1, bigDeltaMs: 1 } })).toBeUndefined();
+  expect(Manifests.between(from, doc(40))).toBeUndefined();
+  expect(Manifests.between({ ...from, limits: { bodyBytes: 1 } }, from)).toBeUndefined();
+  expect(Manifests.between(from, { ...from, pools: {} })).toBeUndefined();
+});
+test("members take changes step by step, and end with the same manifest as its source, whoever missed some", async () => {
+  const hollow = new HollowWorld({ members: 10, replicas: 0, zones: 5, regions: 2, seed: 6 });
+  await hollow.boot(30_000);
+  expect(await hollow.spread(200, 1, 5000)).toBeDefined();
+  expect(await hollow.spreadChange(2, 5000)).toBeDefined();
+  // one misses three, one is new and knows nothing
+  hollow.world.cutOff(["hollow-10"], "both");
+  const { news } = hollow.alive()[0].node;
+  for (let version = 3; version <= 5; version += 1) {
+    const patch = { upsert: { bindings: { [`new-${version}`]: HollowWorld.binding(version) } }, remove: { bindings: [`tenant-${version}`] } };
+    news.offerFrame({ ...news.frame!, index: version, manifest: { version, doc: Manifests.patched(news.frame!.manifest.doc, patch) } });
+    await hollow.world.run(400);
+  }
+  expect(versions(hollow)).toEqual([5, 5, 5, 5, 5, 5, 5, 5, 5, 2]);
+  hollow.world.heal();
+  expect(await hollow.until(5000, () => versions(hollow).every((version) => version === 5))).toBeDefined();
+  expect(docs(hollow).size).toBe(1);
+  // a whole one is no step, and is taken as it is
+  expect(await hollow.spread(30, 6, 5000)).toBeDefined();
+  expect(docs(hollow)).toEqual(new Set([JSON.stringify(doc(30))]));
+  hollow.end();
+}, 60_000);
+test("a change of one binding costs the same in a large manifest as in a small one", async () => {
+  const bytes = async (bindings: number): Promise<number> => {
+    const hollow = new HollowWorld({ members: 10, replicas: 0, zones: 5, regions: 2, seed: 7 });
+    await hollow.boot(30_000);
+    await hollow.spread(bindings, 1, 5000);
+    await hollow.world.run(3000);
+    const before = hollow.placed.reduce((sum, each) => sum + each.meter.counts.bytes, 0);
+    expect(await hollow.spreadChange(2, 5000)).toBeDefined();
+    const spent = hollow.placed.reduce((sum, each) => sum + each.meter.counts.bytes, 0) - before;
+    hollow.end();
+    return spent;
+  };
+  expect(await bytes(2000)).toBeLessThan((await bytes(50)) * 1.5);
+}, 60_000);
