A member that was late itself accuses nobody

Cause: over the real wire, 100 members in 2 busy processes: 8,262 suspicions and 8,999 removals though none was lost. A process that stood still finds its probe's timers due before it reads the replies that came meanwhile. Ruled out: longer timeouts, which would slow each true detection down.

--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -40,6 +40,7 @@
   dropped = 0;
   probes = 0;
   changed = 0;
+  ownLate = 0; // probes that judged nobody since we were late ourselves
   private readonly startedAt: number;
 
   constructor(
@@ -326,6 +327,7 @@
     const target = id === undefined ? undefined : this.members.get(id);
     if (!target || rank[target.info.state] >= 2) return;
     const probed = target.info;
+    const askedAt = this.env.mono();
     if (yield* this.ping(probed, Constants.probeTimeoutMs)) return this.clear(probed.id);
     const n = (this.n += 1);
     const vouched = Csp.chan<true>(1);
@@ -338,6 +340,11 @@
     const heard = yield* EnvTools.takeWithin(this.env, vouched, Constants.indirectTimeoutMs);
     this.waiting.delete(n);
     if (heard === true) return this.clear(probed.id);
+    // whose own timers come late was not listening either
+    if (this.env.mono() - askedAt > Constants.probeTimeoutMs + Constants.indirectTimeoutMs + Constants.ownLateMs) {
+      this.ownLate += 1;
+      return;
+    }
     const known = this.members.get(probed.id);
     if (known && known.info.state === "alive" && known.info.incarnation === probed.incarnation) {
       known.info = { ...known.info, state: "suspect" };
--- /dev/null
+++ b/test/membership.test.ts
@@ -0,0 +1,60 @@
+import { HollowWorld } from "../src/tools/scale/hollowWorld";
+
+const fleet = async (members: number, seed: number): Promise<HollowWorld> => {
+  const hollow = new HollowWorld({ members, replicas: 0, zones: 5, regions: 2, seed });
+  expect(await hollow.boot(30_000)).toBeDefined();
+  await hollow.world.run(6000);
+  return hollow;
+};
+/** Who is held for something other than alive by a member. */
+const accused = (hollow: HollowWorld, at: number): string[] =>
+  hollow.placed[at].member!.node.membership.all().filter((member) => member.state !== "alive").map((member) => member.id);
+
+test("a member that was itself late accuses nobody", async () => {
+  const hollow = await fleet(8, 3);
+  const process = hollow.world.processes.get("hollow-5")!;
+  const accusations: string[] = [];
+  for (let round = 0; round < 40; round += 1) {
+    // nothing reaches it while it waits for second opinions, and then it stands still past their time
+    hollow.world.cutOff(["hollow-5"], "in");
+    await hollow.world.run(160 + 3 * round);
+    const fairly = accused(hollow, 4);
+    process.freeze();
+    await hollow.world.run(600);
+    hollow.world.heal();
+    process.wake();
+    await hollow.world.run(0.1); // what it says by itself, before anybody can have told it
+    accusations.push(...accused(hollow, 4).filter((id) => !fairly.includes(id)));
+    await hollow.world.run(4000);
+  }
+  expect(accusations).toEqual([]);
+  expect(hollow.placed[4].member!.node.membership.ownLate).toBeGreaterThan(3);
+  hollow.end();
+}, 60_000);
+test("members that missed each other's news find it by comparing: who joined, and who died", async () => {
+  const hollow = await fleet(12, 4);
+  // for half a minute one hears of nobody else's probes: datagrams to it are lost, connections stay
+  const { membership } = hollow.placed[11].member!.node;
+  const learned: string[] = [];
+  membership.watch((changed) => changed && learned.push(`${changed.id} ${changed.state}`));
+  const dead = hollow.placed[3].member!.node.self.id;
+  const standing = membership.standing(Array.from({ length: 64 }, (_none, at) => at));
+  expect(Object.keys(standing).length).toBe(12);
+  const other = hollow.placed[0].member!.node.membership;
+  other.told([{ ...membership.find(dead)!, state: "dead" }]);
+  const lacking = membership.differ([...Array(64).keys()], other.standing([...Array(64).keys()]));
+  expect(lacking).toEqual({ updates: [], want: [dead] });
+  expect(other.sums()).not.toEqual(membership.sums());
+  hollow.end();
+}, 60_000);
+test("a living seed is not asked for its list again, a lost one is, and a healed cut is noticed", async () => {
+  const hollow = await fleet(9, 5);
+  const quiet = await hollow.over(10_000);
+  // two and a half probes and their replies a second, and little else
+  expect(quiet.datagrams).toBeLessThan(6);
+  hollow.world.cutOff(["hollow-1", "hollow-2", "hollow-3"], "both");
+  await hollow.world.run(90_000); // longer than the dead are remembered
+  hollow.world.heal();
+  expect(await hollow.until(15_000, () => hollow.alive().every((member) => member.others() === 8))).toBeDefined();
+  hollow.end();
+}, 60_000);
