Stores share the lots' room by demand; items go where least runs

Shared first parts of lots are short (some 400 tokens, 3 ms of reading). Now 0.7 of the slots, shared by what the stores tell of their demand; a first part counts for the choice from 2,000 tokens on, below it the less loaded of two. Ruled out: cuts by us (none but of ended lots and of the lost stores).

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -173,7 +173,11 @@
   orphanPeriodMs: 2500, // ms; leads look for claims that nobody runs
   lotTickMs: 40, // ms; the dispatcher looks for room
   lotCrowdHoldMs: 600, // ms; after a sign of crowding the window stays small
-  lotShare: 0.5, // share; of a pool's slots that items of lots may hold, over all stores
+  lotShare: 0.7, // share; of a pool's slots that items of lots may hold, over all stores; live work takes their place at a replica
+  lotAffinityTokens: 2000, // tokens; a shared first part shorter than this is read faster than its replica's queue shortens
+  lotDemandItems: 16, // items; a store that runs fewer takes so little of the room that it need not tell the others
+  lotDemandMs: 300, // ms; a changed demand is told this often
+  lotDemandGrantMs: 900, // ms; and believed for so long
   lotCrowdedShare: 0.25, // share; of that, while live work has to wait somewhere and no lot is nearly due
   lotUrgentMs: 4000, // ms; a lot due so soon is not held back by a crowd: it is worth as much as what crowds
   lotResultsMs: 30, // ms; results that come within it share one put
--- a/src/store/itemRuns.ts
+++ b/src/store/itemRuns.ts
@@ -22,6 +22,8 @@
   running: Map<number, HttpReply | undefined>; // from the choice of a replica until the result is put
   lostAt: number; // since when we don't lead its shard; Infinity while we do
 };
+/** One look at all that waits: the frame it goes by, our part of the room, and what it found of pools. */
+type Turn = { frame: Frame; part: number; replicas: Map<string, Replica[]>; full: Set<string> };
 type Round =
   | { tag: "done"; result: string }
   | { tag: "never"; why: string } // it can never be done
@@ -47,6 +49,7 @@
   private results = new Map<number, { lot: OpenLot; outcome: ItemOutcome }[]>(); // by shard, not yet put
   private flushing = new Set<number>();
   private batch = 0;
+  private told = { items: 0, at: -Infinity };
   readonly counts = { started: 0, done: 0, abandoned: 0, again: 0, failed: 0, resumed: 0, broken_off: 0 };
 
   constructor(
@@ -143,7 +146,8 @@
     // the one due soonest first; what is late already has lost most of its worth and comes last
     const late = ({ dueInMs }: { dueInMs: number }): number => (dueInMs > 0 ? 0 : 1);
     lots.sort((left, right) => left.lot.order - right.lot.order || late(left) - late(right) || left.dueInMs - right.dueInMs);
-    const full = new Set<string>();
+    this.tellDemand();
+    const turn: Turn = { frame, part: this.part(frame), replicas: new Map(), full: new Set() };
     for (const { open, lot, dueInMs } of lots) {
       const binding = this.bindingOf(frame, lot);
       if (!binding || this.env.wall() > this.giveUpAt(lot, binding)) {
@@ -151,7 +155,7 @@
         continue;
       }
       if (open.later.length > 0) this.takeDue(open, now);
-      this.startOf(open, lot, binding, frame, dueInMs, full);
+      this.startOf(open, lot, binding, turn, dueInMs);
     }
   }
   /** The binding as it is now; as it was kept while our manifest is older than the lot; undefined once it is gone. */
@@ -174,25 +178,53 @@
     open.ready.unshift(...due);
   }
   /** How many items of a pool we may hold: our part of the lots' share of its slots, less while live work has to wait. */
-  private window(frame: Frame, replicas: Replica[], pool: string, urgent: boolean): number {
-    const views = Object.values(frame.control?.views ?? {});
-    const part = views.filter((view) => view.lead === this.node.self.id).length / Math.max(1, views.length);
+  private window(turn: Turn, replicas: Replica[], pool: string, urgent: boolean): number {
     const slots = replicas.reduce((sum, replica) => sum + replica.capacity, 0);
-    const share = Constants.lotShare * (frame.crowded[pool] && !urgent ? Constants.lotCrowdedShare : 1);
-    return Math.max(Constants.lotWindowMin, Math.ceil(slots * share * part));
+    const share = Constants.lotShare * (turn.frame.crowded[pool] && !urgent ? Constants.lotCrowdedShare : 1);
+    return Math.max(Constants.lotWindowMin, Math.ceil(slots * share * turn.part));
+  }
+  /** Our part of what waits in all stores, by what those tell whose lots wait for room; at least our part of the leads. */
+  private part(frame: Frame): number {
+    const views = Object.values(frame.control?.views ?? {});
+    const led = views.filter((view) => view.lead === this.node.self.id).length / Math.max(1, views.length);
+    const ours = `lots/${this.node.self.id}`;
+    let others = 0;
+    for (const { key, value } of this.node.news.current("lots/")) if (key !== ours) others += (value as { items: number }).items;
+    const own = this.demand();
+    return Math.max(led, own === 0 ? 0 : own / (own + others));
+  }
+  private demand(): number {
+    let items = 0;
+    for (const open of this.open.values()) items += open.ready.length + open.running.size;
+    return items;
+  }
+  /** The stores tell each other what they have to run, so that they share the room by it. */
+  private tellDemand(): void {
+    const now = this.env.mono();
+    const items = this.demand();
+    const changed = Math.abs(items - this.told.items) > this.told.items / 4 || now - this.told.at > Constants.lotDemandGrantMs / 2;
+    if (items < Constants.lotDemandItems || !changed || now - this.told.at < Constants.lotDemandMs) return;
+    this.told = { items, at: now };
+    this.node.news.tell(`lots/${this.node.self.id}`, { items }, Constants.lotDemandGrantMs, true);
   }
   private poolOf(binding: Binding): string {
     if (!binding.split || binding.split.length === 0) return binding.pool;
     let left = this.env.random() * binding.split.reduce((sum, { weight }) => sum + weight, 0);
     return binding.split.find(({ weight }) => (left -= weight) < 0)?.pool ?? binding.pool;
   }
-  private startOf(open: OpenLot, lot: Lot, binding: Binding, frame: Frame, dueInMs: number, full: Set<string>): void {
-    const wish = { frame, binding: lot.binding, caller: "", kind: "item" };
+  private replicasOf(turn: Turn, wish: Parameters<typeof Chooser.inPool>[0]): Replica[] {
+    const known = turn.replicas.get(`${wish.pool} ${wish.binding}`) ?? Chooser.inPool(wish);
+    turn.replicas.set(`${wish.pool} ${wish.binding}`, known);
+    return known;
+  }
+  private startOf(open: OpenLot, lot: Lot, binding: Binding, turn: Turn, dueInMs: number): void {
+    const { full } = turn;
+    const wish = { frame: turn.frame, binding: lot.binding, caller: "", kind: "item" };
     for (let tries = open.ready.length; tries > 0; tries -= 1) {
       const pool = this.poolOf(binding);
       if (full.has(pool)) return;
-      const replicas = Chooser.inPool({ ...wish, pool });
-      const window = this.window(frame, replicas, pool, dueInMs < Constants.lotUrgentMs);
+      const replicas = this.replicasOf(turn, { ...wish, pool });
+      const window = this.window(turn, replicas, pool, dueInMs < Constants.lotUrgentMs);
       if ((this.inFlight.get(pool) ?? 0) >= window) {
         full.add(pool);
         return;
@@ -203,7 +235,8 @@
       const exclude = new Set(replicas.filter(({ key }) => (this.atReplica.get(key) ?? 0) >= most).map(({ key }) => key));
       const avoid = open.progress.get(item)?.avoid;
       if (avoid && replicas.some(({ key }) => key !== avoid && !exclude.has(key))) exclude.add(avoid);
-      const prefix = (lot.requests![item].headers[this.names.promptParts] ?? "").split(",")[0].split(":")[0].trim();
+      const [part, tokens] = (lot.requests![item].headers[this.names.promptParts] ?? "").split(",")[0].split(":");
+      const prefix = Number(tokens) >= Constants.lotAffinityTokens ? part.trim() : "";
       const chosen = this.chooser.choose({ ...wish, pool, prefix, lane: "lot", exclude } as Wish);
       if (!chosen) {
         open.ready.unshift(item);
