A lead told of its view by the frame first does not wait a whole grant

Control's word, come second, was ignored. Now it shortens the wait. Both bounds hold, so the lesser does.

--- a/src/shard/shardCopy.ts
+++ b/src/shard/shardCopy.ts
@@ -68,6 +68,7 @@
   private readers = new Set<Chan<true>>();
   private lowDisk = new Map<string, boolean>();
   private sinceFold = 0;
+  private mayLeadAt = 0; // the former lead's grant has ended by then
   readonly counts = { puts: 0, batches: 0, late: 0, overruns: 0, mended: 0, filledBytes: 0 };
 
   constructor(
@@ -319,8 +320,13 @@
       if (this.sealedInThisLife !== body.view.epoch) this.wantsView = "lead was restarted before it began";
       else {
         this.role = "starting";
-        Csp.go(this.env.scope, `lead of shard ${this.shard}`, () => this.lead(body.view, installedAt + body.waitMs));
+        this.mayLeadAt = installedAt + body.waitMs;
+        Csp.go(this.env.scope, `lead of shard ${this.shard}`, () => this.lead(body.view));
       }
+    } else if (this.view?.epoch === body.view.epoch && this.role === "starting") {
+      // the frame told of the view first, without how long the former grant lasts
+      this.mayLeadAt = Math.min(this.mayLeadAt, installedAt + body.waitMs);
+      Csp.offer(this.wake, true);
     }
     return installed;
   }
@@ -607,7 +613,7 @@
     const since = fault?.tag === "refused" ? askedAt - Constants.memberSilentMs / 2 : askedAt;
     if (!this.failing.has(id)) this.failing.set(id, since);
   }
-  private *lead(view: View, notBefore: number): Task<void> {
+  private *lead(view: View): Task<void> {
     const epoch = view.epoch;
     const copy = this;
     this.failing.clear();
@@ -620,7 +626,7 @@
         Csp.offer(ready, true);
       });
     for (let heard = 0; heard < this.others().length; heard += 1) yield* Csp.take(ready);
-    while (this.env.mono() < notBefore && this.isLeadOf(epoch)) yield* EnvTools.sleep(this.env, notBefore - this.env.mono());
+    while (this.env.mono() < this.mayLeadAt && this.isLeadOf(epoch)) yield* EnvTools.takeWithin(this.env, this.wake, this.mayLeadAt - this.env.mono());
     if (!this.isLeadOf(epoch)) return;
     this.env.point(44);
     this.applyAll();
