--- a/src/store/quota.ts
+++ b/src/store/quota.ts
@@ -33,6 +33,8 @@
     private readonly copies: Map<number, ShardCopy>,
   ) {}
 
+  /** @example quota.metrics().quota_refused */
+  metrics = (): Record<string, number> => Object.fromEntries(Object.entries(this.counts).map(([name, count]) => [`quota_${name}`, count]));
   private limitOf = (binding: string): number => this.node.frame().control?.manifest.doc.bindings[binding]?.maxWaitingTokens ?? 0;
   private homeShard = (binding: string): number => this.putter.shardOf(`quota ${binding}`);
 
--- a/src/store/storeNode.ts
+++ b/src/store/storeNode.ts
@@ -326,7 +326,7 @@
       overrun_puts: sum((copy) => copy.counts.overruns), mended_objects: sum((copy) => copy.counts.mended),
       ...this.puts.metrics("put_ms"), ...this.relays.metrics("relay_ms"), skew_ms: +(this.node.membership.skew()?.offset ?? 0).toFixed(2),
       disk_syncs: sum((copy) => copy.syncs()), restamped_puts: this.putter.restamped,
-      affinity_hits: this.chooser.hits, affinity_misses: this.chooser.misses, ...this.work.metrics(), ...this.itemRuns.metrics(),
+      affinity_hits: this.chooser.hits, affinity_misses: this.chooser.misses, ...this.work.metrics(), ...this.itemRuns.metrics(), ...this.quota.metrics(),
     };
   }
   /** SIGTERM: leads are handed on, work in flight ends or is taken over, goodbye. @example yield* store.stop(); */
--- a/src/tools/eventStandIn.ts
+++ b/src/tools/eventStandIn.ts
@@ -2,7 +2,7 @@
 import { Env, EnvTools, HttpIn } from "../env/env";
 import { HeaderNames, ownHeaderNames } from "../adapters/headerNames";
 
-export type EventRun = { id: string; at: number; after: number; target: string; host: string; body: string; whole: boolean };
+export type EventRun = { id: string; at: number; after: number; target: string; host: string; body: string; events: number; whole: boolean };
 /** What happens to a request: whole events, a cut after some, a failure, or it is not run at all. */
 export type Mood = { tag: "well" } | { tag: "cut"; after: number } | { tag: "status"; status: number } | { tag: "notRun" } | { tag: "dark" };
 
@@ -49,7 +49,7 @@
     if (incoming.headers[names.target] !== this.instance) return incoming.send(421, { ...told, [names.notRun]: "1" }, "");
     if (mood.tag === "notRun" || this.active >= this.size.slots) return incoming.send(503, { ...told, [names.notRun]: "1" }, "");
     const after = +(incoming.headers[names.lastPiece] ?? 0);
-    const run: EventRun = { id, at: this.env.wall(), after, target: incoming.target, host: incoming.headers.host ?? "", body: read.value.toString("utf8"), whole: false };
+    const run: EventRun = { id, at: this.env.wall(), after, target: incoming.target, host: incoming.headers.host ?? "", body: read.value.toString("utf8"), events: 0, whole: false };
     this.runs.push(run);
     this.active += 1;
     this.most = Math.max(this.most, this.active);
@@ -61,6 +61,7 @@
         yield* EnvTools.sleep(this.env, this.size.eventMs);
         if (incoming.gone.isClosed()) return;
         if (mood.tag === "cut" && n > mood.after) return incoming.abort();
+        run.events += 1;
         incoming.write(`id: ${n}\ndata: ${eventOf(id, n)}\n\n`);
       }
       run.whole = true;
--- a/test/lotWorld.ts
+++ b/test/lotWorld.ts
@@ -33,8 +33,8 @@
   private readonly gone = new Set<string>();
   private version = 0;
   caller!: SimProcess;
-  host!: IntakeHost;
-  node!: Node;
+  readonly hosts: IntakeHost[] = [];
+  readonly nodes: Node[] = [];
   static readonly binding: Binding = {
     kind: "item", pool: "model", path: "/", safe: true, deadlineMs: 10_000, continues: "exact", prefixBytes: 0, host: "kiln.example", prefix: "/b/",
     rounds: 3, completionMs: 10_000, giveUpMs: 40_000,
@@ -50,7 +50,7 @@
     const lots = new LotWorld(seed, { stores: 3, replicas: 2, events: 4, slots: 8, ...size }, log);
     lots.process("control-1", { program: "control", address: seeds[0], founders: seeds, data: "data/control-1" });
     for (let at = 1; at <= lots.size.stores; at += 1) lots.startStore(`store-${at}`);
-    await lots.startCaller();
+    for (let at = 1; at <= 2; at += 1) await lots.startCaller(at);
     for (let at = 1; at <= lots.size.replicas; at += 1) await lots.startReplica(`r${at}`);
     for (let round = 0; round < 40 && Object.keys(lots.node.frame().control?.views ?? {}).length < Constants.shardCount; round += 1) await lots.world.run(500);
     await lots.configure({ b: { ...LotWorld.binding, ...binding } });
@@ -73,13 +73,23 @@
   startStore(name: string): void {
     this.process(name, { program: "store", address: `127.0.0.1:${10 + +name.slice(6)}`, data: `data/${name}`, district: district(+name.slice(6)) });
   }
-  private async startCaller(): Promise<void> {
-    this.caller = this.world.start("caller", new SimDisk(this.world));
-    const { env } = this.caller;
-    const started = await this.world.finish(this.caller, () => Node.start(env, { program: "agent", cluster: "lots", district: "north", address: "127.0.0.1:90", http: "127.0.0.1:91", seeds }, "agent"), 5000);
+  /** Where lots are handed in; the first does what the tests ask. */
+  private async startCaller(at: number): Promise<void> {
+    const process = this.world.start(at === 1 ? "caller" : `caller-${at}`, new SimDisk(this.world));
+    if (at === 1) this.caller = process;
+    const { env } = process;
+    const settings: Settings = { program: "agent", cluster: "lots", district: district(at), address: `127.0.0.1:${88 + 2 * at}`, http: `127.0.0.1:${89 + 2 * at}`, seeds };
+    const started = await this.world.finish(process, () => Node.start(env, settings, "agent"), 5000);
     if (!started?.ok) throw new Error("no caller");
-    const node = (this.node = started.value);
-    this.host = { env, rpc: node.rpc, putter: new Putter(env, node.rpc, node.self.id, () => node.frame()), frame: () => node.frame() };
+    const node = started.value;
+    this.nodes.push(node);
+    this.hosts.push({ env, rpc: node.rpc, putter: new Putter(env, node.rpc, node.self.id, () => node.frame()), frame: () => node.frame() });
+  }
+  get host(): IntakeHost {
+    return this.hosts[0];
+  }
+  get node(): Node {
+    return this.nodes[0];
   }
   async startReplica(id: string): Promise<void> {
     const address = `127.0.0.1:${900 + +id.slice(1)}`;
@@ -158,9 +168,13 @@
     const shard = this.host.putter.shardOf(lot);
     return [...this.stores].find(([, store]) => store.copies.get(shard)?.holdsGrant())?.[0] ?? "";
   }
-  kill(name: string): void {
+  kill(name: string, powerLost = false): void {
     this.stores.delete(name);
-    this.world.kill(name);
+    this.world.kill(name, powerLost);
+  }
+  /** The disk is gone while the machine is down. @example lots.wipe("store-2"); */
+  wipe(name: string): void {
+    this.disks.get(name)!.wipe();
   }
   freeze(name: string): void {
     this.world.processes.get(name)!.freeze();
