Prefix affinity only where the shared prefix takes a tenth of the latency target to read

Cause: the choice hashed the first part of a prompt whatever its length. A part of 103 tokens, read in under 1 ms, gathered the requests of 53 senders, which don't see each other's requests, at a few endpoints; boundedLoad binds on a sender's own requests only. Change: the prefix is the deepest shared part, and attracts only where its prefill takes a tenth of the route's latency target or more (routing/prompt.ts). The parsing of prompts moved there from longPromptIsolation.

--- a/src/common/constants/routing.ts
+++ b/src/common/constants/routing.ts
@@ -18,6 +18,8 @@
   connectionShare: 0.85,
   /** Tokens that an endpoint prefills in a ms: an estimate that only separates long from short prompts. */
   promptTokensPerMs: 100,
+  /** Share of the latency target; a shared prefix whose prefill is shorter attracts no requests. */
+  affinityTargetShare: 0.1,
   /** Parts of one prompt that are compared. */
   promptPartsMax: 64,
   /** Share of the pause that other requests tolerate; a prompt whose prefill takes longer is long. */
--- a/src/ingress/pendingDirectRequest.ts
+++ b/src/ingress/pendingDirectRequest.ts
@@ -1,8 +1,9 @@
+import { Constants } from "../common/constants";
 import { Fault, Result } from "../common/fault";
 import { Route } from "../controlState/configuration";
 import { DirectHttp, DirectRequest } from "../forwarding/directHttp";
 import type { HeaderNames } from "../forwarding/headerNames";
-import { LongPromptIsolation, Prompt } from "../routing/longPromptIsolation";
+import { affinityPrefix, parsePrompt, Prompt } from "../routing/prompt";
 import type { MatchedRoute } from "../routing/routeTable";
 import { SelectionCriteria } from "../routing/selectionCriteria";
 import { weightedPool } from "../routing/weightedSplit";
@@ -75,7 +76,7 @@
     routeName,
     route,
     pool: weightedPool(route, env.random()),
-    prompt: LongPromptIsolation.parse(route.affinity ? (headers[headerNames.promptParts] ?? "") : ""),
+    prompt: parsePrompt(route.affinity ? (headers[headerNames.promptParts] ?? "") : ""),
     forwarded,
     cause: { manifest: configurationVersion },
     arrivedAt,
@@ -102,7 +103,7 @@
     route: routeName,
     caller: "",
     kind: route.kind,
-    prefix: prompt.parts[0]?.id ?? "",
+    prefix: affinityPrefix(prompt, route.targetMs ?? Constants.liveWaitMs),
     workClass: "live",
     exclude,
     prompt,
--- a/src/routing/longPromptIsolation.ts
+++ b/src/routing/longPromptIsolation.ts
@@ -2,20 +2,8 @@
 import { Environment } from "../runtime/env";
 import { Endpoint } from "../node/clusterSnapshot";
 import { Hash } from "../common/hash";
+import { prefillMs, Prompt } from "./prompt";
 
-/** One part of a prompt, as its caller declares it. */
-export interface PromptPart {
-  /** Equal ids mean equal text, so that an endpoint's prefix cache may hold it. */
-  id: string;
-  tokens: number;
-}
-/** A prompt as its caller declares it. */
-export interface Prompt {
-  /** In the order of the text. */
-  parts: PromptPart[];
-  /** Tokens of all parts. */
-  tokens: number;
-}
 /** A sum of tokens that decays exponentially, with the monotonic ms of its last update. */
 interface DecayingTokens {
   tokens: number;
@@ -25,14 +13,6 @@
 /** Endpoints are reserved from this fraction of the busy share on. */
 const minBusyShare = Constants.longPromptBusyShare / 20;
 
-/** Reads "ID:TOKENS"; no part if it is malformed. */
-function parsePart(text: string): PromptPart[] {
-  const colon = text.lastIndexOf(":");
-  const tokens = Number(text.slice(colon + 1));
-  const valid = colon > 0 && Number.isFinite(tokens) && tokens >= 0;
-  return valid ? [{ id: text.slice(0, colon).trim(), tokens }] : [];
-}
-
 /**
  * Reserves a few endpoints of a pool for long prompts, so that their prefill does not delay the decode of other requests.
  * Each sender derives the number of reserved endpoints from the long prompts that it sees itself; rendezvous hashing makes
@@ -47,15 +27,9 @@
   private readonly prefillByPool = new Map<string, DecayingTokens>();
   constructor(private readonly env: Environment) {}
 
-  /** Reads the parts of a prompt from a header; malformed parts are left out. @example LongPromptIsolation.parse("5c1e:800,91bd:410").tokens // 1210 */
-  static parse(text: string): Prompt {
-    const parts = text.split(",").slice(0, Constants.promptPartsMax).flatMap(parsePart);
-    return { parts, tokens: parts.reduce((sum, part) => sum + part.tokens, 0) };
-  }
-
   /** Whether the prefill takes a large share of the pause between chunks (in ms) that the other streams tolerate. */
   static isLong = (prompt: Prompt, chunkGapMs: number): boolean =>
-    prompt.tokens / Constants.promptTokensPerMs > chunkGapMs * Constants.longPromptShare;
+    prefillMs(prompt.tokens) > chunkGapMs * Constants.longPromptShare;
 
   /** Counts a prompt towards the rate of long ones, if it is long. */
   record(pool: string, prompt: Prompt, chunkGapMs: number): void {
@@ -75,7 +49,7 @@
     const prefill = this.prefillByPool.get(pool);
     if (!prefill || endpointCount < Constants.longPromptEndpointsMin) return 0;
     const tokens = this.decayed(prefill, this.env.mono());
-    const busyEndpoints = (tokens * ingressCount) / Constants.longPromptFadeMs / Constants.promptTokensPerMs;
+    const busyEndpoints = (prefillMs(tokens) * ingressCount) / Constants.longPromptFadeMs;
     if (busyEndpoints < minBusyShare) return 0;
     const reserved = Math.ceil(busyEndpoints / Constants.longPromptBusyShare);
     return reserved > endpointCount / 2 ? 0 : reserved;
--- a/src/routing/selectionCriteria.ts
+++ b/src/routing/selectionCriteria.ts
@@ -1,5 +1,5 @@
 import { ClusterSnapshot } from "../node/clusterSnapshot";
-import { Prompt } from "./longPromptIsolation";
+import { Prompt } from "./prompt";
 
 /** Live requests may use an endpoint's whole capacity, batch items leave the reserved share of it free. */
 export type WorkClass = "live" | "batch";
