A process that starts refuses what it has no handler for yet, as not run, not as invalid

Cause: a process listens before all its handlers are set, and answered 'invalid, unknown verb' then. An operator's change that reached it through another node became 400, at which operators give up, and a batch job 400.

--- a/src/common/fault.ts
+++ b/src/common/fault.ts
@@ -14,7 +14,7 @@
  * | Tag | Meaning |
  * |---|---|
  * | timeout | no response in time; the request may have run |
- * | refused | nothing was sent: the request certainly did not run |
+ * | refused | nothing was sent, or nothing there handles it: the request certainly did not run |
  * | broken | sent, and the connection ended before the response; the request may have run |
  * | busy | rejected for now; it may be repeated after `retryAfterMs` |
  * | late | a timestamp is behind the frontier or out of bounds, or a deadline is over |
--- a/src/rpc/rpc.ts
+++ b/src/rpc/rpc.ts
@@ -46,8 +46,8 @@
   /**
    * Sends a request and waits for its response.
    *
-   * Faults besides the handler's own: "refused" if no connection was made, so that nothing was sent; "timeout" and
-   * "broken" if the request may have arrived. A request is never sent twice.
+   * Faults besides the handler's own: "refused" if no connection was made or the process has no handler of the method, so
+   * that nothing ran; "timeout" and "broken" if the request may have arrived. A request is never sent twice.
    *
    * @param timeoutMs from now on, connecting included
    * @param isCancelled asked now and then; once true, the wait ends as by a time-out
--- a/src/rpc/rpcServer.ts
+++ b/src/rpc/rpcServer.ts
@@ -77,7 +77,8 @@
   private *runHandler(request: Envelope): Task<Result<unknown>> {
     const { method, body, sender } = request;
     const handler = this.handlers.get(method);
-    if (!handler) return Fault.fail("invalid", method, this.selfId, "unknown verb");
+    // a process that starts listens before all its handlers are set: what comes then has certainly not run
+    if (!handler) return Fault.fail("refused", method, this.selfId, "no handler, or none yet");
     try {
       // The body's type is the promise of the method's entry; a handler that meets another body may throw.
       return yield* handler(body as never, sender);
--- a/test/rpc.test.ts
+++ b/test/rpc.test.ts
@@ -1,4 +1,5 @@
 import { Result } from "../src/common/fault";
+import { ControlClient } from "../src/node/controlClient";
 import { Csp } from "../src/runtime/csp";
 import { Link } from "../src/runtime/env";
 import { SimDisk } from "../src/simulation/simDisk";
@@ -116,3 +117,36 @@
   expect(outcomes.map((each) => !each.ok && each.fault.tag)).toEqual(["internal", "internal"]);
   expect(server.alive).toBe(true);
 });
+test("a request without a handler is refused as not run: a process that starts listens before its handlers are set", async () => {
+  const server = world.start("server", new SimDisk(world));
+  const serverRpc = new Rpc(server.env, "a", "s");
+  Csp.go(server.env.scope, "serve", () => serverRpc.serve(address));
+  await world.run(50);
+  const early = asks(1);
+  await world.run(50);
+  expect(early).toEqual([{ ok: false, fault: expect.objectContaining({ tag: "refused", step: "echo", member: "s" }) }]);
+  serverRpc.handle("echo", function* (body) {
+    return { ok: true as const, value: body };
+  });
+  const later = asks(1);
+  await world.run(50);
+  expect(later).toEqual([{ ok: true, value: 0 }]);
+});
+test("an order that reaches a control process before its handlers are set is repeated, not rejected", async () => {
+  const server = world.start("server", new SimDisk(world));
+  const serverRpc = new Rpc(server.env, "a", "s");
+  Csp.go(server.env.scope, "serve", () => serverRpc.serve(address));
+  await world.run(50);
+  const control = new ControlClient(client.env, rpc, () => [address]);
+  const outcomes: Result<unknown>[] = [];
+  Csp.go(client.env.scope, "order", function* () {
+    outcomes.push(yield* control.request({ op: "read", what: "manifest" }, 2000));
+  });
+  await world.run(100);
+  expect(outcomes).toEqual([]);
+  serverRpc.handle("control.op", function* () {
+    return { ok: true as const, value: "configuration" } as never;
+  });
+  await world.run(1000);
+  expect(outcomes).toEqual([{ ok: true, value: "configuration" }]);
+});
