Senders report failing endpoints to each other; outliers of the pool are ejected everywhere

Cause: where 53 senders share 42 endpoints, each sees too few requests to recognize an unhealthy one: a request that may not be repeated times out only at its deadline (4 s), and three failures in a row never come. Change: a sender counts failed requests, and those without any answer after twice the latency target, and publishes the counts by gossip, at most every 300 ms and only while the others don't know enough.

--- a/src/storage/storageNode.ts
+++ b/src/storage/storageNode.ts
@@ -57,7 +57,9 @@
   ) {
     const { replicas } = this;
     this.shardClient = new ShardClient(env, node.rpc, node.self.id, () => node.snapshot());
-    this.endpointSelector = new EndpointSelector(env, node.self.id);
+    this.endpointSelector = new EndpointSelector(env, node.self.id, (key, value, leaseMs) =>
+      node.gossip.publish(key, value, leaseMs, true),
+    );
     this.claimedWork = new ClaimedWork(env, node, this.shardClient, this.endpointSelector, replicas);
     this.batchWork = new BatchWork(env, node, this.shardClient, this.endpointSelector, replicas, names);
     const retention = new Retention(env, node, this.shardClient);
