--- a/src/ingress/ingressReadiness.ts
+++ b/src/ingress/ingressReadiness.ts
@@ -15,8 +15,6 @@
  */
 export class IngressReadiness implements Readiness {
   stopping = false;
-  /** Set once the warm-up requests are done. */
-  warmedUp = false;
   constructor(
     private readonly env: Environment,
     private readonly link: AgentLink,
@@ -27,7 +25,6 @@
     if (this.stopping) return "stopping";
     const snapshot = this.link.snapshot();
     if (!snapshot.control) return "no manifest yet";
-    if (!this.warmedUp) return "rehearsing";
     if (!this.link.isConfirmed()) return "configuration not confirmed by the control lead";
     if (this.link.isStale() || !snapshot.isCurrent) return "no fresh frame";
     if (!snapshot.clockTrusted) return "clock not vouched for";
