A clock that is not trusted keeps out what is stamped, not what is only forwarded

Cause: an ingress whose clock samples are few and late, as in the first half second after a start, or whose clock was stepped, refused every request with 503. Requests by host and path that are forwarded to an endpoint carry no timestamp of ours. Change: only batch jobs, which are stamped, are refused then; readiness says unready as before, so that new clients go to other nodes where there are any. An endpoint that announced a warm-up counts as warming up while the clock can't tell its end.

--- a/src/ingress/directRequestHandler.ts
+++ b/src/ingress/directRequestHandler.ts
@@ -63,6 +63,9 @@
     body: Buffer,
     submitJob: BatchJobHandler | undefined,
   ): Task<void> {
+    const clockReason = this.context.readiness.clockReason();
+    if (clockReason)
+      return this.responses.reject(exchange, "accept", this.context.id, clockReason, Constants.comeBackUnreadyMs);
     if (submitJob) return yield* submitJob(exchange, match, body);
     const detail = "this binding takes lots only";
     this.responses.fail(exchange, { tag: "invalid", step: "accept", member: this.context.id, detail }, 400);
--- a/src/ingress/ingressReadiness.ts
+++ b/src/ingress/ingressReadiness.ts
@@ -6,8 +6,8 @@
 import { IngressCounters } from "./ingressCounters";
 
 /**
- * Whether the ingress may take requests: it acts on a fresh snapshot and a confirmed configuration only, and with a clock
- * within its bounds.
+ * Whether the ingress may take requests: it acts on a fresh snapshot and a confirmed configuration only. What is stamped,
+ * as batch jobs are, also needs a clock within its bounds; a request that is only forwarded has no timestamp of ours.
  *
  * @example
  * const readiness = new IngressReadiness(env, link, counters);
@@ -21,23 +21,31 @@
     private readonly counters: IngressCounters,
   ) {}
 
+  /** Why the ingress tells that it is unready. */
   unreadyReason(): string | undefined {
-    if (this.stopping) return "stopping";
+    return this.stopping ? "stopping" : (this.configurationReason() ?? this.clockReason());
+  }
+
+  /** Why a request that is only forwarded is rejected; while the ingress stops, requests that still arrive are served. */
+  rejectReason(): string | undefined {
+    const reason = this.configurationReason();
+    if (reason !== undefined) return reason;
+    return this.link.snapshot().control?.manifest.version ? undefined : "no manifest in force yet";
+  }
+
+  /** Why nothing may be stamped now. */
+  clockReason(): string | undefined {
+    return this.link.snapshot().clockTrusted ? undefined : "clock not vouched for";
+  }
+
+  private configurationReason(): string | undefined {
     const snapshot = this.link.snapshot();
     if (!snapshot.control) return "no manifest yet";
     if (!this.link.isConfirmed()) return "configuration not confirmed by the control lead";
     if (this.link.isStale() || !snapshot.isCurrent) return "no fresh frame";
-    if (!snapshot.clockTrusted) return "clock not vouched for";
     return undefined;
   }
 
-  /** Why a direct request is rejected; while the ingress stops, requests that still arrive are served. */
-  rejectReason(): string | undefined {
-    const reason = this.unreadyReason();
-    if (reason !== undefined && reason !== "stopping") return reason;
-    return this.link.snapshot().control?.manifest.version ? undefined : "no manifest in force yet";
-  }
-
   /** Watches for freezes of the process (by jumps of the monotonic clock) and for stale snapshots; never returns. */
   *watchLoop(): Task<void> {
     let lastCheckAt = this.env.mono();
--- a/src/routing/endpointSelector.ts
+++ b/src/routing/endpointSelector.ts
@@ -86,12 +86,14 @@
     const senderIds = RequestSenders.ids(criteria.snapshot);
     const senderCount = Math.max(1, senderIds.length);
     const pool = criteria.snapshot.control?.manifest.doc.pools?.[criteria.pool];
+    const warmPerSecond = pool?.warmPerSecond ?? 0;
     const capacityShare = criteria.workClass === "batch" ? 1 - Constants.reservedShare : 1;
     return eligible.filter((endpoint) => {
       if (criteria.exclude.has(endpoint.key)) return false;
       const state = this.states.of(endpoint);
       if (this.outlierEjection.isEjected(state, now)) return false;
-      if (!this.slowStart.allowsWarmUp(endpoint, pool?.warmPerSecond ?? 0, senderIds, now)) return false;
+      if (!this.slowStart.allowsWarmUp(endpoint, warmPerSecond, senderIds, criteria.snapshot.clockTrusted, now))
+        return false;
       if (pool?.connections && state.inFlight >= RequestSenders.connectionShare(pool.connections, senderCount))
         return false;
       if (!this.slowStart.allowsStart(endpoint, senderCount, now)) return false;
@@ -134,7 +136,7 @@
     state.inFlight += 1;
     state.startedSinceAnnouncement += 1;
     state.lastStartAt = this.env.mono();
-    if (this.slowStart.isWarmingUp(endpoint)) state.lastWarmUpStartAt = state.lastStartAt;
+    if (endpoint.warmAt) state.lastWarmUpStartAt = state.lastStartAt;
   }
 
   /** A request ended; `decisive` marks a failure that ejects the endpoint at once, see OutlierEjection. */
--- a/src/routing/slowStart.ts
+++ b/src/routing/slowStart.ts
@@ -32,14 +32,21 @@
     return Math.min(1, Math.max(Constants.slowStartFloor, age / Constants.slowStartMs));
   }
 
-  /** Whether the endpoint has announced that it is still warming up. */
-  isWarmingUp(endpoint: Endpoint): boolean {
-    return endpoint.warmAt !== undefined && endpoint.warmAt + Constants.coldMarginMs > this.env.wall();
+  /** Whether the endpoint may still be warming up, by its announcement; a clock that is not trusted can't tell the end. */
+  isWarmingUp(endpoint: Endpoint, clockTrusted: boolean): boolean {
+    if (!endpoint.warmAt) return false;
+    return !clockTrusted || endpoint.warmAt + Constants.coldMarginMs > this.env.wall();
   }
 
   /** Whether this node may send the endpoint one more warm-up request now; perSecond is the pool's rate for all senders. */
-  allowsWarmUp(endpoint: Endpoint, perSecond: number, senderIds: string[], now: number): boolean {
-    if (!this.isWarmingUp(endpoint) || perSecond <= 0) return true;
+  allowsWarmUp(
+    endpoint: Endpoint,
+    perSecond: number,
+    senderIds: string[],
+    clockTrusted: boolean,
+    now: number,
+  ): boolean {
+    if (perSecond <= 0 || !this.isWarmingUp(endpoint, clockTrusted)) return true;
     // a sender that has just started doesn't know yet how many others share the rate
     if (now - this.startedAt < Constants.sendersSettleMs) return false;
     const share = perSecond / Math.max(1, senderIds.length);
--- /dev/null
+++ b/test/ingressReadiness.test.ts
@@ -0,0 +1,63 @@
+import type { AgentLink } from "../src/ingress/agentLink";
+import { IngressCounters } from "../src/ingress/ingressCounters";
+import { IngressReadiness } from "../src/ingress/ingressReadiness";
+import { ControlSnapshot } from "../src/controlState/controlSnapshot";
+import { ControlState } from "../src/controlState/controlState";
+import type { ClusterSnapshot, Endpoint } from "../src/node/clusterSnapshot";
+import { EndpointStates } from "../src/routing/endpointStates";
+import { SlowStart } from "../src/routing/slowStart";
+import { SimDisk } from "../src/simulation/simDisk";
+import { SimWorld } from "../src/simulation/simWorld";
+
+const world = new SimWorld(1, () => undefined);
+const { env } = world.start("ingress", new SimDisk(world));
+const manifest = { version: 1, doc: { bindings: {} } };
+const snapshotWith = (more: Partial<ClusterSnapshot>): ClusterSnapshot => ({
+  revision: 1,
+  control: ControlSnapshot.of({ ...ControlState.empty(), manifest }, 1),
+  members: [],
+  endpoints: [],
+  overloadedPools: {},
+  isCurrent: true,
+  clockTrusted: true,
+  ...more,
+});
+const readinessWith = (more: Partial<ClusterSnapshot>): IngressReadiness => {
+  const link: Partial<AgentLink> = {
+    snapshot: () => snapshotWith(more),
+    isStale: () => false,
+    isConfirmed: () => true,
+  };
+  return new IngressReadiness(env, link as AgentLink, new IngressCounters());
+};
+
+describe("readiness of an ingress", () => {
+  test("with a clock that is not trusted it reports that it is unready, and forwards what reaches it all the same", () => {
+    const readiness = readinessWith({ clockTrusted: false });
+    expect(readiness.unreadyReason()).toBe("clock not vouched for");
+    expect(readiness.clockReason()).toBe("clock not vouched for");
+    expect(readiness.rejectReason()).toBeUndefined();
+  });
+
+  test("without a current configuration it rejects whatever reaches it", () => {
+    expect(readinessWith({ isCurrent: false }).rejectReason()).toBe("no fresh frame");
+    expect(readinessWith({ control: undefined }).rejectReason()).toBe("no manifest yet");
+    expect(readinessWith({}).rejectReason()).toBeUndefined();
+    expect(readinessWith({}).unreadyReason()).toBeUndefined();
+  });
+
+  test("while it stops, it reports that it is unready and serves what still reaches it", () => {
+    const readiness = readinessWith({});
+    readiness.stopping = true;
+    expect(readiness.unreadyReason()).toBe("stopping");
+    expect(readiness.rejectReason()).toBeUndefined();
+  });
+
+  test("with a clock that is not trusted an endpoint that was warming up counts as doing so still", () => {
+    const slowStart = new SlowStart(env, "ingress-1", new EndpointStates(env));
+    const endpoint = { warmAt: env.wall() - 60_000 } as Endpoint;
+    expect(slowStart.isWarmingUp(endpoint, true)).toBe(false);
+    expect(slowStart.isWarmingUp(endpoint, false)).toBe(true);
+    expect(slowStart.isWarmingUp({ warmAt: 0 } as Endpoint, false)).toBe(false);
+  });
+});
