--- a/test/rpc.test.ts
+++ b/test/rpc.test.ts
@@ -145,7 +145,7 @@
   await world.run(100);
   expect(outcomes).toEqual([]);
   serverRpc.handle("control.op", function* () {
-    return { ok: true as const, value: "configuration" } as never;
+    return { ok: true as const, value: "configuration" };
   });
   await world.run(1000);
   expect(outcomes).toEqual([{ ok: true, value: "configuration" }]);
