--- a/src/common/constants/routing.ts
+++ b/src/common/constants/routing.ts
@@ -1,4 +1,4 @@
-/** Selection of endpoints: slow start, prefix affinity, long prompts, outlier ejection. */
+/** Selection of endpoints: slow start, prefix affinity, outlier ejection. */
 export const routingConstants = {
   /** ms; slow start: a new endpoint reaches its full share over this time. */
   slowStartMs: 6000,
@@ -16,20 +16,12 @@
   sendersSettleMs: 3000,
   /** Share of an endpoint's connections that all senders together plan with. */
   connectionShare: 0.85,
-  /** Tokens that an endpoint prefills in a ms: an estimate that only separates long from short prompts. */
+  /** Tokens that an endpoint prefills in a ms: an estimate that only tells prefixes that are worth affinity. */
   promptTokensPerMs: 100,
   /** Share of the latency target; a shared prefix whose prefill is shorter attracts no requests. */
   affinityTargetShare: 0.1,
   /** Parts of one prompt that are compared. */
   promptPartsMax: 64,
-  /** Share of the pause that other requests tolerate; a prompt whose prefill takes longer is long. */
-  longPromptShare: 0.25,
-  /** ms; over which the rate of long prompts decays. */
-  longPromptFadeMs: 8000,
-  /** Share of its time that an endpoint set aside for long prompts may prefill them. */
-  longPromptBusyShare: 0.1,
-  /** Endpoints; smaller pools are not divided. */
-  longPromptEndpointsMin: 4,
   /** Factor; prefix affinity yields above this multiple of the mean load. */
   boundedLoad: 1.25,
   /** Failures in a row until an endpoint is ejected. */
--- a/src/ingress/directRequestHandler.ts
+++ b/src/ingress/directRequestHandler.ts
@@ -9,7 +9,7 @@
 import type { DirectContext } from "./directContext";
 import { DirectResponses } from "./directResponses";
 import { AttemptOutcome, EndpointAttempt } from "./endpointAttempt";
-import { chunkGapMsOf, PendingDirectRequest, readDirectRequest, selectionCriteria } from "./pendingDirectRequest";
+import { PendingDirectRequest, readDirectRequest, selectionCriteria } from "./pendingDirectRequest";
 
 /** Priority in the admission queue where the route gives none. */
 const defaultOrder = 100;
@@ -77,13 +77,9 @@
     body: Buffer,
     arrivedAt: number,
   ): Result<PendingDirectRequest> {
-    const { endpointSelector, env, headerNames } = this.context;
+    const { env, headerNames } = this.context;
     const version = this.context.snapshot().control!.manifest.version;
-    const pending = readDirectRequest(env, headerNames, exchange, match, body, arrivedAt, version);
-    if (!pending.ok) return pending;
-    const chunkGapMs = chunkGapMsOf(match.route);
-    if (chunkGapMs) endpointSelector.recordPrompt(pending.value.pool, pending.value.prompt, chunkGapMs);
-    return pending;
+    return readDirectRequest(env, headerNames, exchange, match, body, arrivedAt, version);
   }
 
   /** Attempts until one has responded, no further one is allowed, or the time is up. */
--- a/src/ingress/pendingDirectRequest.ts
+++ b/src/ingress/pendingDirectRequest.ts
@@ -86,10 +86,6 @@
   });
 }
 
-/** The target for the pause between chunks in ms, if the request is a stream with one. */
-export const chunkGapMsOf = (route: Route): number | undefined =>
-  route.kind === "stream" ? route.pieceGapMs : undefined;
-
 /** What decides which endpoint runs the next attempt. */
 export function selectionCriteria(
   pending: PendingDirectRequest,
@@ -106,7 +102,5 @@
     prefix: affinityPrefix(prompt, route.targetMs ?? Constants.liveWaitMs),
     workClass: "live",
     exclude,
-    prompt,
-    chunkGapMs: chunkGapMsOf(route),
   };
 }
--- a/src/routing/endpointSelector.ts
+++ b/src/routing/endpointSelector.ts
@@ -5,10 +5,8 @@
 import { EndpointEligibility } from "./endpointEligibility";
 import { EndpointStates } from "./endpointStates";
 import { FailureReports } from "./failureReports";
-import { LongPromptIsolation } from "./longPromptIsolation";
 import { OutlierEjection } from "./outlierEjection";
 import { PrefixAffinity } from "./prefixAffinity";
-import { Prompt } from "./prompt";
 import { RequestSenders } from "./requestSenders";
 import { sharedOutliers } from "./sharedOutliers";
 import { PoolCriteria, SelectionCriteria } from "./selectionCriteria";
@@ -17,7 +15,7 @@
 
 /**
  * Selects the endpoint that runs a request. Candidates are the eligible endpoints with capacity, without ejected outliers
- * (by this sender's requests, and by the reports of all) and within their slow start; long prompts are kept apart. Among the candidates prefix affinity decides, or else the power
+ * (by this sender's requests, and by the reports of all) and within their slow start. Among the candidates prefix affinity decides, or else the power
  * of two choices (Mitzenmacher 2001): the less loaded of two picked at random.
  *
  * @example
@@ -30,7 +28,6 @@
   private readonly outlierEjection: OutlierEjection;
   private readonly slowStart: SlowStart;
   private readonly prefixAffinity: PrefixAffinity;
-  private readonly longPromptIsolation: LongPromptIsolation;
   private readonly failureReports: FailureReports;
   private readonly unanswered: UnansweredRequests;
   /** Failures that all senders have reported, as of the latest choice. */
@@ -47,7 +44,6 @@
     this.outlierEjection = new OutlierEjection(env);
     this.slowStart = new SlowStart(env, self, this.states);
     this.prefixAffinity = new PrefixAffinity(env, this.states, this.slowStart);
-    this.longPromptIsolation = new LongPromptIsolation(env);
   }
 
   /** Requests that went to the endpoint that their prefix prefers. */
@@ -75,7 +71,7 @@
     if (available.length === 0) return undefined;
     const outliers = sharedOutliers(eligible, this.reportedFailures);
     const healthy = available.filter((endpoint) => !endpoint.quiet && !outliers.has(endpoint.key));
-    const candidates = this.isolateLongPrompts(criteria, healthy.length > 0 ? healthy : available, eligible);
+    const candidates = healthy.length > 0 ? healthy : available;
     const preferred = criteria.prefix === "" ? undefined : this.prefixAffinity.select(criteria.prefix, candidates);
     return preferred ?? this.lessLoadedOfTwo(candidates);
   }
@@ -102,14 +98,6 @@
     });
   }
 
-  /** Live prompts go to the endpoints for their length; batch items go anywhere. */
-  private isolateLongPrompts(criteria: SelectionCriteria, available: Endpoint[], eligible: Endpoint[]): Endpoint[] {
-    const { prompt, chunkGapMs, pool, snapshot, workClass } = criteria;
-    if (workClass === "batch" || !prompt || !chunkGapMs) return available;
-    const isLong = LongPromptIsolation.isLong(prompt, chunkGapMs);
-    return this.longPromptIsolation.preferred(pool, available, eligible, isLong, RequestSenders.ingressCount(snapshot));
-  }
-
   private lessLoadedOfTwo(candidates: Endpoint[]): Endpoint {
     const pick = (): Endpoint => candidates[Math.floor(this.env.random() * candidates.length)];
     const [first, second] = [pick(), pick()];
@@ -120,11 +108,6 @@
     return (this.states.load(endpoint) + 1) / (endpoint.capacity * this.slowStart.weight(endpoint));
   }
 
-  /** Records a live prompt that some endpoint of the pool will have to prefill. */
-  recordPrompt(pool: string, prompt: Prompt, chunkGapMs: number): void {
-    this.longPromptIsolation.record(pool, prompt, chunkGapMs);
-  }
-
   /** Best estimate of the number of requests at the endpoint now. */
   load(endpoint: Endpoint): number {
     return this.states.load(endpoint);
--- a/src/routing/selectionCriteria.ts
+++ b/src/routing/selectionCriteria.ts
@@ -1,5 +1,4 @@
 import { ClusterSnapshot } from "../node/clusterSnapshot";
-import { Prompt } from "./prompt";
 
 /** Live requests may use an endpoint's whole capacity, batch items leave the reserved share of it free. */
 export type WorkClass = "live" | "batch";
@@ -25,8 +24,4 @@
   workClass: WorkClass;
   /** Keys of endpoints that this request has already failed at. */
   exclude: Set<string>;
-  /** The prompt of a stream, if the caller declared it. */
-  prompt?: Prompt;
-  /** The route's target for the pause between two chunks of a stream, in ms. */
-  chunkGapMs?: number;
 }
