--- a/src/common/constants/liveRequests.ts
+++ b/src/common/constants/liveRequests.ts
@@ -39,10 +39,10 @@
   comeBackUnreadyMs: 1100,
   /** ms; after SIGTERM callers still send requests here until they have noticed that it is unready. */
   stopListenMs: 3000,
-  /** Requests that an ingress sends to itself once it is ready and idle, so that callers meet compiled code. */
+  /** Requests that an ingress sends to itself before it becomes ready, so that callers meet compiled code. */
   warmUpRequests: 160,
   /** ms; time for that, at most. */
-  warmUpMs: 12_000,
+  warmUpMs: 1500,
   /** ms; an endpoint that does not accept a connection by then. */
   connectTimeoutMs: 1000,
   /** ms; an endpoint that accepts a request and sends nothing by then counts as unreachable. */
--- a/src/ingress/ingressNode.ts
+++ b/src/ingress/ingressNode.ts
@@ -96,7 +96,7 @@
       const served = yield* ingress.serve(surface);
       if (!served.ok) return served;
     }
-    Csp.go(env.scope, "warm up", () => ingress.warmUp());
+    Csp.go(env.scope, "rehearse", () => ingress.warmUp());
     env.log(1001, { program: "ingress", id: ingress.id, http: settings.http });
     return Fault.ok(ingress);
   }
@@ -173,10 +173,9 @@
   }
 
   private *warmUp(): Task<void> {
-    yield* WarmUpRequests.run(this.env, this.headerNames, this.settings.http, {
-      mayBegin: () => this.readiness.unreadyReason() === undefined,
-      isBusy: () => this.inFlight > 0,
-    });
+    const isConfigured = (): boolean => (this.snapshot().control?.manifest.version ?? 0) > 0;
+    yield* WarmUpRequests.run(this.env, this.headerNames, this.settings.http, isConfigured);
+    this.readiness.warmedUp = true;
   }
 
   /** Graceful shutdown: reports unready, stops listening, and waits for what is in flight, up to the grace time. */
--- a/src/ingress/ingressReadiness.ts
+++ b/src/ingress/ingressReadiness.ts
@@ -15,6 +15,8 @@
  */
 export class IngressReadiness implements Readiness {
   stopping = false;
+  /** Set once the warm-up requests are done. */
+  warmedUp = false;
   constructor(
     private readonly env: Environment,
     private readonly link: AgentLink,
@@ -41,6 +43,7 @@
   private configurationReason(): string | undefined {
     const snapshot = this.link.snapshot();
     if (!snapshot.control) return "no manifest yet";
+    if (!this.warmedUp) return "rehearsing";
     if (!this.link.isConfirmed()) return "configuration not confirmed by the control lead";
     if (this.link.isStale() || !snapshot.isCurrent) return "no fresh frame";
     return undefined;
--- a/src/ingress/warmUpRequests.ts
+++ b/src/ingress/warmUpRequests.ts
@@ -1,5 +1,5 @@
 import { Constants } from "../common/constants";
-import { Task } from "../runtime/csp";
+import { Csp, Task } from "../runtime/csp";
 import { Environment, EnvironmentTools, HttpExchange } from "../runtime/env";
 import { DirectHttp, DirectRequest } from "../forwarding/directHttp";
 import { EventStreamReader } from "../forwarding/eventStreamReader";
@@ -11,19 +11,11 @@
 const eventsPerStream = 4;
 const requestBodyBytes = 1400;
 const requestTimeoutMs = 500;
-/** Pause after a warm-up request, and between two looks for an idle moment, ms. */
-const pauseMs = 20;
+/** Requests that run at the same time. */
+const concurrency = 8;
 
 const event = (n: number): string => `id: ${n}\ndata: ${"rehearsal ".repeat(10)}\n\n`;
 
-/** When warm-up requests may be sent. */
-export interface WarmUpMoments {
-  /** The ingress is ready for callers. */
-  mayBegin(): boolean;
-  /** Callers' requests are in flight. */
-  isBusy(): boolean;
-}
-
 /** This ingress as an endpoint that its own requests can be sent to. */
 const endpointAt = (address: string): Endpoint => ({
   key: "rehearsal",
@@ -74,12 +66,11 @@
 }
 
 /**
- * While no caller needs an ingress that has just become ready, it forwards some requests to itself over its own address:
- * code that has not been compiled yet runs several times slower, and the first callers would bear that. Where callers come
- * at once, as after a restart, the processor is theirs.
+ * Before an ingress reports that it is ready, it forwards some requests to itself over its own address: code that has not
+ * been compiled yet runs many times slower, and the first callers after a start would bear that.
  *
  * @example
- * yield* WarmUpRequests.run(env, headerNames, "10.0.0.5:7661", { mayBegin: isReady, isBusy: hasRequestsInFlight });
+ * yield* WarmUpRequests.run(env, headerNames, "10.0.0.5:7661", () => configurationIsInForce());
  */
 export const WarmUpRequests = {
   /** The route that responds to the warm-up requests. */
@@ -87,16 +78,18 @@
     { method: "POST", path: new RegExp(`^${path}$`), run: (exchange) => respond(headerNames, exchange) },
   ],
 
-  /** Sends the requests to this ingress at `address`, one at a time in idle moments, until all are done or the time is up. */
-  *run(env: Environment, headerNames: HeaderNames, address: string, moments: WarmUpMoments): Task<void> {
-    while (!moments.mayBegin()) yield* EnvironmentTools.sleep(env, pauseMs);
+  /** Sends the requests to this ingress at `address`, until all are done, the time is up, or `isNeeded` says that callers wait. */
+  *run(env: Environment, headerNames: HeaderNames, address: string, isNeeded: () => boolean): Task<void> {
     const until = env.mono() + Constants.warmUpMs;
     const self = endpointAt(address);
-    for (let sent = 0; sent < Constants.warmUpRequests && env.mono() < until;) {
-      const isIdle = !moments.isBusy();
-      if (isIdle && !(yield* sendOne(env, headerNames, self, `rehearsal-${sent}`))) return;
-      if (isIdle) sent += 1;
-      yield* EnvironmentTools.sleep(env, pauseMs);
-    }
+    const finished = Csp.chan<true>(concurrency);
+    for (let worker = 0; worker < concurrency; worker += 1)
+      Csp.go(env.scope, "rehearsal", function* () {
+        for (let n = worker; n < Constants.warmUpRequests && env.mono() < until && !isNeeded(); n += concurrency)
+          if (!(yield* sendOne(env, headerNames, self, `rehearsal-${n}`))) break;
+        Csp.offer(finished, true);
+      });
+    for (let worker = 0; worker < concurrency; worker += 1)
+      yield* EnvironmentTools.takeWithin(env, finished, until - env.mono());
   },
 };
--- a/test/ingressReadiness.test.ts
+++ b/test/ingressReadiness.test.ts
@@ -28,7 +28,9 @@
     isStale: () => false,
     isConfirmed: () => true,
   };
-  return new IngressReadiness(env, link as AgentLink, new IngressCounters());
+  const readiness = new IngressReadiness(env, link as AgentLink, new IngressCounters());
+  readiness.warmedUp = true;
+  return readiness;
 };
 
 describe("readiness of an ingress", () => {
@@ -46,6 +48,13 @@
     expect(readinessWith({}).unreadyReason()).toBeUndefined();
   });
 
+  test("before its warm-up requests are done it rejects whatever reaches it", () => {
+    const readiness = readinessWith({});
+    readiness.warmedUp = false;
+    expect(readiness.unreadyReason()).toBe("rehearsing");
+    expect(readiness.rejectReason()).toBe("rehearsing");
+  });
+
   test("while it stops, it reports that it is unready and serves what still reaches it", () => {
     const readiness = readinessWith({});
     readiness.stopping = true;
