--- a/test/prefixAffinity.test.ts
+++ b/test/prefixAffinity.test.ts
@@ -3,12 +3,13 @@
 import { ControlSnapshot } from "../src/controlState/controlSnapshot";
 import { ControlState } from "../src/controlState/controlState";
 import { readDirectRequest, selectionCriteria } from "../src/ingress/pendingDirectRequest";
-import type { ClusterSnapshot, Endpoint } from "../src/node/clusterSnapshot";
+import type { ClusterSnapshot } from "../src/node/clusterSnapshot";
 import { EndpointSelector } from "../src/routing/endpointSelector";
 import { affinityPrefix, parsePrompt } from "../src/routing/prompt";
 import type { HttpExchange } from "../src/runtime/env";
 import { SimDisk } from "../src/simulation/simDisk";
 import { SimWorld } from "../src/simulation/simWorld";
+import { modelEndpoint } from "./modelEndpoint";
 
 const endpointCount = 20;
 const senderCount = 50;
@@ -27,21 +28,6 @@
   affinity: true,
 };
 
-const endpoint = (at: number): Endpoint => ({
-  key: `replica/r${at}/i${at}`,
-  id: `r${at}`,
-  instance: `i${at}`,
-  address: `10.0.1.${at}:80`,
-  pool: "model",
-  district: "north",
-  version: "v1",
-  capacity: 12,
-  active: 0,
-  waiting: 0,
-  bornAt: 0,
-  warmAt: 0,
-});
-
 /** A sender's request with this prompt, as far as its choice needs it. */
 const exchangeWith = (promptParts: string): HttpExchange =>
   ({
@@ -60,7 +46,7 @@
     revision: 1,
     control: ControlSnapshot.of({ ...ControlState.empty(), manifest }, 1),
     members: [],
-    endpoints: Array.from({ length: endpointCount }, (_none, at) => endpoint(at)),
+    endpoints: Array.from({ length: endpointCount }, (_none, at) => modelEndpoint(at)),
     overloadedPools: {},
     isCurrent: true,
     clockTrusted: true,
--- a/test/sharedOutliers.test.ts
+++ b/test/sharedOutliers.test.ts
@@ -6,22 +6,9 @@
 import { sharedOutliers } from "../src/routing/sharedOutliers";
 import { SimDisk } from "../src/simulation/simDisk";
 import { SimWorld } from "../src/simulation/simWorld";
+import { modelEndpoint } from "./modelEndpoint";
 
-const endpoint = (at: number): Endpoint => ({
-  key: `replica/r${at}/i${at}`,
-  id: `r${at}`,
-  instance: `i${at}`,
-  address: `10.0.1.${at}:80`,
-  pool: "model",
-  district: "north",
-  version: "v1",
-  capacity: 12,
-  active: 0,
-  waiting: 0,
-  bornAt: 0,
-  warmAt: 0,
-});
-const endpoints = Array.from({ length: 9 }, (_none, at) => endpoint(at));
+const endpoints = Array.from({ length: 9 }, (_none, at) => modelEndpoint(at));
 
 /** Senders that share a pool and see each other's reports at once. */
 class Senders {
