Reports of failures: silence counts, slowness doesn't; chance ejects none; batch items don't report

Change: an overdue request counts only if its endpoint has sent nothing else since; an outlier must exceed the mean by three deviations of a Poisson count; batch items, which wait by design, report nothing.

--- a/src/common/constants/routing.ts
+++ b/src/common/constants/routing.ts
@@ -36,6 +36,8 @@
   sharedFailures: 2,
   /** Factor; an ejected endpoint fails this many times as often as the mean of its pool. */
   outlierFactor: 2.5,
+  /** Standard deviations (of a Poisson count) by which it exceeds that mean, so that chance ejects none. */
+  outlierDeviations: 3,
   /** Share of a pool that reports eject at once, at most. */
   ejectedShareMax: 0.34,
   /** Factor; a request without any answer after this multiple of its latency target counts as a failure. */
--- a/src/ingress/endpointAttempt.ts
+++ b/src/ingress/endpointAttempt.ts
@@ -117,6 +117,7 @@
         return { tag: "callerDisconnected" };
       }
       if (!received.ok) return { tag: "failed", fault: received.fault };
+      this.context.endpointSelector.heardFrom(this.endpoint);
       if (!pending.responseOpen) {
         exchange.open(opened.status, { ...opened.headers, ...this.responses.closeHeader() });
         pending.responseOpen = true;
--- a/src/routing/endpointSelector.ts
+++ b/src/routing/endpointSelector.ts
@@ -143,6 +143,11 @@
     return this.unanswered.expect(endpoint.key, withinMs);
   }
 
+  /** Something was received from the endpoint. */
+  heardFrom(endpoint: Endpoint): void {
+    this.unanswered.heardFrom(endpoint.key);
+  }
+
   private reportOverdue(): void {
     for (const endpointKey of this.unanswered.takeOverdue()) this.reportFailure(endpointKey);
   }
--- a/src/routing/sharedOutliers.ts
+++ b/src/routing/sharedOutliers.ts
@@ -12,10 +12,9 @@
 export function sharedOutliers(endpoints: Endpoint[], reported: Record<string, number>): ReadonlySet<string> {
   const countOf = (endpoint: Endpoint): number => reported[endpoint.key] ?? 0;
   const total = endpoints.reduce((sum, endpoint) => sum + countOf(endpoint), 0);
-  const threshold = Math.max(
-    Constants.sharedFailures,
-    (total / Math.max(1, endpoints.length)) * Constants.outlierFactor,
-  );
+  const mean = total / Math.max(1, endpoints.length);
+  const byChance = mean + Constants.outlierDeviations * Math.sqrt(mean);
+  const threshold = Math.max(Constants.sharedFailures, mean * Constants.outlierFactor, byChance);
   return new Set(
     endpoints
       .filter((endpoint) => countOf(endpoint) >= threshold)
--- a/src/storage/storageNode.ts
+++ b/src/storage/storageNode.ts
@@ -57,9 +57,7 @@
   ) {
     const { replicas } = this;
     this.shardClient = new ShardClient(env, node.rpc, node.self.id, () => node.snapshot());
-    this.endpointSelector = new EndpointSelector(env, node.self.id, (key, value, leaseMs) =>
-      node.gossip.publish(key, value, leaseMs, true),
-    );
+    this.endpointSelector = new EndpointSelector(env, node.self.id);
     this.claimedWork = new ClaimedWork(env, node, this.shardClient, this.endpointSelector, replicas);
     this.batchWork = new BatchWork(env, node, this.shardClient, this.endpointSelector, replicas, names);
     const retention = new Retention(env, node, this.shardClient);
--- a/test/sharedOutliers.test.ts
+++ b/test/sharedOutliers.test.ts
@@ -36,6 +36,9 @@
   leaveUnanswered(sender: number, silent: Endpoint): () => void {
     return this.selectors[sender].expectAnswer(silent, 500);
   }
+  hear(sender: number, from: Endpoint): void {
+    this.selectors[sender].heardFrom(from);
+  }
   private criteria(): SelectionCriteria {
     const snapshot: ClusterSnapshot = {
       revision: 1,
@@ -75,9 +78,20 @@
     expect(chosen.has(endpoints[5].key)).toBe(true);
   });
 
+  test("a request that waits at an endpoint which goes on with other requests is no failure", async () => {
+    const senders = new Senders(3);
+    for (const sender of [0, 1]) senders.leaveUnanswered(sender, endpoints[4]);
+    await senders.world.run(300);
+    for (const sender of [0, 1]) senders.hear(sender, endpoints[4]);
+    await senders.world.run(300);
+    for (const sender of [0, 1]) senders.choose(sender);
+    expect(senders.reports.size).toBe(0);
+  });
+
   test("one failure ejects nobody, nor do failures that all endpoints have", () => {
     expect(sharedOutliers(endpoints, failuresAt([1])).size).toBe(0);
     expect(sharedOutliers(endpoints, failuresAt([6, 5, 6, 4, 5, 6, 5, 4, 6])).size).toBe(0);
+    expect(sharedOutliers(endpoints, failuresAt([7, 3, 2, 4, 1, 3, 2, 3, 2])).size).toBe(0);
     expect(sharedOutliers([], {}).size).toBe(0);
   });
 
