--- a/src/common/constants/routing.ts
+++ b/src/common/constants/routing.ts
@@ -28,18 +28,4 @@
   ejectFailures: 3,
   /** ms; it is ejected for so long, then probed with one request. */
   ejectMs: 3000,
-  /** ms; failures that senders report to each other count for so long. */
-  failureWindowMs: 2500,
-  /** ms; a sender reports at most this often. */
-  failureReportPeriodMs: 300,
-  /** Failures within the window, over all senders, from which an endpoint may be ejected. */
-  sharedFailures: 2,
-  /** Factor; an ejected endpoint fails this many times as often as the mean of its pool. */
-  outlierFactor: 2.5,
-  /** Standard deviations (of a Poisson count) by which it exceeds that mean, so that chance ejects none. */
-  outlierDeviations: 3,
-  /** Share of a pool that reports eject at once, at most. */
-  ejectedShareMax: 0.34,
-  /** Factor; a request without any answer after this multiple of its latency target counts as a failure. */
-  unansweredFactor: 2,
 } as const;
--- a/src/ingress/endpointAttempt.ts
+++ b/src/ingress/endpointAttempt.ts
@@ -45,7 +45,7 @@
 
   /** `mayRetry` says that another attempt may follow, for which some time is left. */
   *run(mayRetry: boolean): Task<AttemptOutcome> {
-    const { admissionQueue, endpointSelector, env, headerNames } = this.context;
+    const { admissionQueue, env, headerNames } = this.context;
     const { exchange, forwarded, route } = this.pending;
     const { endpoint } = this;
     const leftMs = this.leftMs();
@@ -55,9 +55,7 @@
     // an endpoint need not go on with what nobody waits for
     exchange.onGone = () => cancellation.cancel?.();
     const request = { ...forwarded, remainingMs: leftMs };
-    const answered = endpointSelector.expectAnswer(endpoint, this.expectedAnswerMs());
     const opened = yield* DirectHttp.open(env, headerNames, endpoint, request, headTimeoutMs, cancellation);
-    answered();
     if (!opened.ok) return this.openFailed(opened.fault);
     const outcome = yield* this.relay(opened.value, headTimeoutMs);
     exchange.onGone = undefined;
@@ -117,7 +115,6 @@
         return { tag: "callerDisconnected" };
       }
       if (!received.ok) return { tag: "failed", fault: received.fault };
-      this.context.endpointSelector.heardFrom(this.endpoint);
       if (!pending.responseOpen) {
         exchange.open(opened.status, { ...opened.headers, ...this.responses.closeHeader() });
         pending.responseOpen = true;
@@ -139,11 +136,6 @@
     return Math.max(Constants.silentPieceMs, 3 * (route.pieceGapMs ?? 0));
   }
 
-  /** Without the head of a response by then, the endpoint counts as failing. */
-  private expectedAnswerMs(): number {
-    return (this.pending.route.targetMs ?? Constants.headMs) * Constants.unansweredFactor;
-  }
-
   private leftMs(): number {
     return this.pending.deadlineAt - this.context.env.mono();
   }
--- a/src/ingress/ingressNode.ts
+++ b/src/ingress/ingressNode.ts
@@ -70,9 +70,8 @@
   ) {
     this.id = link.id;
     this.shardClient = new ShardClient(env, link.rpc, link.id, this.snapshot);
-    const publish = (key: string, value: unknown, leaseMs: number): void => link.publish(key, value, leaseMs);
-    this.endpointSelector = new EndpointSelector(env, link.id, publish);
-    const overload = new OverloadSignal(env, link.id, publish);
+    this.endpointSelector = new EndpointSelector(env, link.id);
+    const overload = new OverloadSignal(env, link.id, (key, value, leaseMs) => link.publish(key, value, leaseMs));
     this.admissionQueue = new AdmissionQueue(env, this.endpointSelector, (pool) => overload.signal(pool));
     this.notes = new LedgerNotes(env, this.shardClient, link.id, this.snapshot, this.counters);
     this.readiness = new IngressReadiness(env, link, this.counters);
--- a/src/node/clusterSnapshot.ts
+++ b/src/node/clusterSnapshot.ts
@@ -47,8 +47,6 @@
   endpoints: Endpoint[];
   /** True for pools where some node recently had to queue live requests. */
   overloadedPools: Record<string, boolean>;
-  /** Failures at endpoints that senders reported lately, by endpoint key; absent if there are none. */
-  reportedFailures?: Record<string, number>;
   /** Digests were exchanged lately, and the control leader confirmed the configuration since the last start or freeze. */
   isCurrent: boolean;
   /** Whether the clock is within its bound of the other members' clocks. */
--- a/src/node/clusterSnapshotCache.ts
+++ b/src/node/clusterSnapshotCache.ts
@@ -3,7 +3,6 @@
 import { Membership } from "../membership/membership";
 import { Environment } from "../runtime/env";
 import { ClusterSnapshot, Endpoint } from "./clusterSnapshot";
-import { FailureReport, failureReportPrefix, sumOfReports } from "./failureReport";
 
 /** A snapshot is built anew after this time also without a known change: leases run out by time alone. */
 const MAX_AGE_MS = 250;
@@ -67,7 +66,6 @@
       members: this.membership.alive(),
       endpoints: newestInstances(this.liveEndpoints()),
       overloadedPools: this.overloadedPools(),
-      ...this.reportedFailures(),
       isCurrent: this.health.isCurrent(),
       clockTrusted,
     };
@@ -82,11 +80,6 @@
     }));
   }
 
-  private reportedFailures(): Pick<ClusterSnapshot, "reportedFailures"> {
-    const reports = this.gossip.live(failureReportPrefix).map((fact) => fact.value as FailureReport);
-    return reports.length > 0 ? { reportedFailures: sumOfReports(reports) } : {};
-  }
-
   private overloadedPools(): Record<string, boolean> {
     const overloaded: Record<string, boolean> = {};
     for (const fact of this.gossip.live("crowd/"))
--- a/src/node/snapshotFeed.ts
+++ b/src/node/snapshotFeed.ts
@@ -17,8 +17,6 @@
   readonly members: Member[];
   readonly replicas: Endpoint[];
   readonly crowded: Record<string, boolean>;
-  /** Absent if there are none. */
-  readonly failures?: Record<string, number>;
   readonly fresh: boolean;
   readonly vouched: boolean;
   /** Index of the agent's control snapshot, also where that is left out; 0 for none. */
@@ -47,7 +45,6 @@
       members: snapshot.members,
       replicas: snapshot.endpoints,
       crowded: snapshot.overloadedPools,
-      ...(snapshot.reportedFailures ? { failures: snapshot.reportedFailures } : {}),
       fresh: snapshot.isCurrent,
       vouched: snapshot.clockTrusted,
       controlIndex: control?.index ?? 0,
@@ -61,7 +58,6 @@
       members: response.members,
       endpoints: response.replicas,
       overloadedPools: response.crowded,
-      ...(response.failures ? { reportedFailures: response.failures } : {}),
       isCurrent: response.fresh,
       clockTrusted: response.vouched,
       controlIndex: response.controlIndex,
--- a/src/routing/endpointSelector.ts
+++ b/src/routing/endpointSelector.ts
@@ -1,22 +1,18 @@
 import { Constants } from "../common/constants";
 import { Environment } from "../runtime/env";
 import { Endpoint } from "../node/clusterSnapshot";
-import { FailureReport } from "../node/failureReport";
 import { EndpointEligibility } from "./endpointEligibility";
 import { EndpointStates } from "./endpointStates";
-import { FailureReports } from "./failureReports";
 import { OutlierEjection } from "./outlierEjection";
 import { PrefixAffinity } from "./prefixAffinity";
 import { RequestSenders } from "./requestSenders";
-import { sharedOutliers } from "./sharedOutliers";
 import { PoolCriteria, SelectionCriteria } from "./selectionCriteria";
 import { SlowStart } from "./slowStart";
-import { UnansweredRequests } from "./unansweredRequests";
 
 /**
  * Selects the endpoint that runs a request. Candidates are the eligible endpoints with capacity, without ejected outliers
- * (by this sender's requests, and by the reports of all) and within their slow start. Among the candidates prefix affinity decides, or else the power
- * of two choices (Mitzenmacher 2001): the less loaded of two picked at random.
+ * and within their slow start. Among the candidates prefix affinity decides, or else the power of two choices
+ * (Mitzenmacher 2001): the less loaded of two picked at random.
  *
  * @example
  * const selector = new EndpointSelector(env, "ingress-1");
@@ -28,18 +24,11 @@
   private readonly outlierEjection: OutlierEjection;
   private readonly slowStart: SlowStart;
   private readonly prefixAffinity: PrefixAffinity;
-  private readonly failureReports: FailureReports;
-  private readonly unanswered: UnansweredRequests;
-  /** Failures that all senders have reported, as of the latest choice. */
-  private reportedFailures: Record<string, number> = {};
-  /** `self` is this node's id among the senders; `publish` publishes a gossip fact that expires after leaseMs. */
+  /** `self` is this node's id among the senders. */
   constructor(
     private readonly env: Environment,
     self = "",
-    publish: (key: string, value: FailureReport, leaseMs: number) => void = () => undefined,
   ) {
-    this.failureReports = new FailureReports(env, self, publish);
-    this.unanswered = new UnansweredRequests(env);
     this.states = new EndpointStates(env);
     this.outlierEjection = new OutlierEjection(env);
     this.slowStart = new SlowStart(env, self, this.states);
@@ -64,14 +53,11 @@
   /** The endpoint to send the request to; undefined when none has capacity. */
   choose(criteria: SelectionCriteria): Endpoint | undefined {
     this.states.sweep(criteria.snapshot.endpoints);
-    this.reportedFailures = criteria.snapshot.reportedFailures ?? {};
-    this.reportOverdue();
     const eligible = this.eligible(criteria);
     const available = this.available(criteria, eligible);
     if (available.length === 0) return undefined;
-    const outliers = sharedOutliers(eligible, this.reportedFailures);
-    const healthy = available.filter((endpoint) => !endpoint.quiet && !outliers.has(endpoint.key));
-    const candidates = healthy.length > 0 ? healthy : available;
+    const fresh = available.filter((endpoint) => !endpoint.quiet);
+    const candidates = fresh.length > 0 ? fresh : available;
     const preferred = criteria.prefix === "" ? undefined : this.prefixAffinity.select(criteria.prefix, candidates);
     return preferred ?? this.lessLoadedOfTwo(candidates);
   }
@@ -129,30 +115,6 @@
     state.inFlight = Math.max(0, state.inFlight - 1);
     state.startedSinceAnnouncement = Math.max(0, state.startedSinceAnnouncement - 1);
     if (healthy) this.outlierEjection.recordSuccess(state);
-    else {
-      this.outlierEjection.recordFailure(state, endpoint.key, decisive);
-      this.reportFailure(endpoint.key);
-    }
-  }
-
-  /**
-   * A request that was sent is expected to be answered somehow within this time, else it counts as a failure of its
-   * endpoint. The returned function is called with the first of its answer, or at its end.
-   */
-  expectAnswer(endpoint: Endpoint, withinMs: number): () => void {
-    return this.unanswered.expect(endpoint.key, withinMs);
-  }
-
-  /** Something was received from the endpoint. */
-  heardFrom(endpoint: Endpoint): void {
-    this.unanswered.heardFrom(endpoint.key);
-  }
-
-  private reportOverdue(): void {
-    for (const endpointKey of this.unanswered.takeOverdue()) this.reportFailure(endpointKey);
-  }
-
-  private reportFailure(endpointKey: string): void {
-    this.failureReports.add(endpointKey, this.reportedFailures[endpointKey] ?? 0);
+    else this.outlierEjection.recordFailure(state, endpoint.key, decisive);
   }
 }
