A response framed only by the end of its connection is relayed so, not told as complete

Cause: an endpoint that dies in the middle of a response without a length looks as if it had finished, and the body was sent on with a length of its own. Change: HttpExchange.sendUntilClose. The test in replicaSockets fails without it (1 failed, 10 passed) and passes with it; with direct, golden, fuzz, surface and callerLimits 55 passed.

--- a/src/ingress/endpointAttempt.ts
+++ b/src/ingress/endpointAttempt.ts
@@ -21,6 +21,9 @@
   /** The request may have run. */
   | { tag: "failed"; fault: Fault };
 
+/** No Content, Not Modified. */
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
 const failed = (step: string, endpoint: Endpoint, detail: string): AttemptOutcome => ({
   tag: "failed",
   fault: { tag: "broken", step, member: endpoint.id, detail },
@@ -99,10 +102,20 @@
     const mustNotReachCaller =
       responseOpen || promisesNotExecuted(opened.status) || (opened.status >= 500 && route.safe);
     if (mustNotReachCaller) return failed("read reply", this.endpoint, `replica replied ${opened.status}`);
-    exchange.send(opened.status, { ...opened.headers, ...this.responses.closeHeader() }, body);
+    const headers = { ...opened.headers, ...this.responses.closeHeader() };
+    const isEndCertain = !this.endsWithConnection(opened) || !exchange.sendUntilClose;
+    if (isEndCertain) exchange.send(opened.status, headers, body);
+    else exchange.sendUntilClose!(opened.status, headers, body);
     return { tag: "responded", status: opened.status };
   }
 
+  /** Whether the endpoint framed its response by nothing but the end of the connection, which may as well be its own end. */
+  private endsWithConnection({ status, response }: DirectResponse): boolean {
+    const hasBody = this.pending.forwarded.method !== "HEAD" && !bodilessStatuses.has(status);
+    const { "content-length": length, "transfer-encoding": encoding } = response.headers;
+    return hasBody && length === undefined && encoding === undefined;
+  }
+
   private *relayStream(opened: DirectResponse, firstEventWithinMs: number): Task<AttemptOutcome> {
     const { pending } = this;
     const { exchange, forwarded } = pending;
--- a/src/runtime/http.ts
+++ b/src/runtime/http.ts
@@ -31,6 +31,11 @@
   body(limit: number): Task<Result<Buffer>>;
   /** Sends a complete response. */
   send(status: number, headers: Record<string, string>, body: string | Buffer): void;
+  /**
+   * Sends a response whose end is that of the connection (RFC 9112, section 6.3): its length is not known for certain, so it
+   * must not be framed as complete. Absent where there are no real connections.
+   */
+  sendUntilClose?(status: number, headers: Record<string, string>, body: Buffer): void;
   /** Starts a streamed response, which `write` continues and `end` completes. */
   open(status: number, headers: Record<string, string>): void;
   write(chunk: string | Buffer): void;
--- a/src/runtime/httpServer.ts
+++ b/src/runtime/httpServer.ts
@@ -209,6 +209,13 @@
         begin(status, bodiless ? headers : { ...headers, "content-length": String(Buffer.byteLength(body)) });
         response.end(body);
       },
+      sendUntilClose(status, headers, body) {
+        if (response.headersSent || response.destroyed) return;
+        response.shouldKeepAlive = false;
+        response.useChunkedEncodingByDefault = false;
+        begin(status, headers);
+        response.end(body);
+      },
       open(status, headers) {
         if (response.headersSent || response.destroyed) return;
         begin(status, headers);
--- a/test/replicaSockets.test.ts
+++ b/test/replicaSockets.test.ts
@@ -164,6 +164,15 @@
   const text = await once("q3");
   expect([text.includes("data: one"), text.includes("\r\n0\r\n")]).toEqual([true, false]);
 });
+test("a response that only the end of its connection frames is relayed so: it is not told as complete", async () => {
+  const untilClose: Behave = (socket, { id }) => void socket.end(okHead(id, "\r\n") + "maybe a part");
+  await ingressBefore({}, [untilClose]);
+  const [head, body] = (await once("q1")).split("\r\n\r\n");
+  expect(head).toContain("HTTP/1.1 200 ");
+  expect(head.toLowerCase()).not.toMatch(/content-length|transfer-encoding/);
+  expect(head.toLowerCase()).toContain("connection: close");
+  expect(body).toBe("maybe a part");
+});
 test("an extra response before, with or after the next request reaches nobody", async () => {
   const withNext: Behave = (socket, { id }) => void socket.write(ok("other", "not yours") + ok(id));
   await ingressBefore({}, [withNext]);
