--- a/review/2/run.js
+++ b/review/2/run.js
@@ -1,4 +1,5 @@
 "use strict";
+/* eslint-disable max-lines-per-function -- a script that is read from top to bottom */
 /**
  * A replica is cut off from the control nodes for some seconds. As the cut has healed it leaves: it sends DELETE, which a
  * control node acknowledges. The beat that it had sent on its open connection during the cut arrives a little later.
