Log and count responses that endpoints cut off, by framing and cause

Change: event 1205 and the metric cut_responses, by endpoint, framing (RFC 9112, section 6.3) and cause. All readers of an endpoint's response share one class (EndpointBody) in place of three loops with their own limit checks. The client observes how the peer ended each connection; what it decides is as before (isIncomplete). The simulated HTTP knows framings, and like the parser of Node.js reports the end of a message without other framing also after a reset.

--- a/src/common/logEvents.ts
+++ b/src/common/logEvents.ts
@@ -45,6 +45,12 @@
   1202: { level: "info", text: "endpoint withdrawn", operatorAction: "none" },
   1203: { level: "warn", text: "lease of an endpoint expired", operatorAction: "check whether the endpoint is up" },
   1204: { level: "warn", text: "endpoint ejected temporarily", operatorAction: "read the log of the endpoint" },
+  1205: {
+    level: "warn",
+    text: "response of an endpoint was cut off",
+    operatorAction:
+      "read the log of the endpoint; cause is reset (connection failed), truncated (closed early) or timeout (silent)",
+  },
   1301: { level: "info", text: "control group bootstrapped", operatorAction: "none" },
   1302: {
     level: "warn",
--- a/src/forwarding/directHttp.ts
+++ b/src/forwarding/directHttp.ts
@@ -2,7 +2,8 @@
 import { Fault, Result } from "../common/fault";
 import type { Endpoint } from "../node/clusterSnapshot";
 import { Task } from "../runtime/csp";
-import { Environment, EnvironmentTools, HttpRequest, HttpResponse } from "../runtime/env";
+import { Environment, HttpRequest, HttpResponse } from "../runtime/env";
+import { EndpointBody } from "./endpointBody";
 import { HeaderNames } from "./headerNames";
 
 /** A request that is forwarded unchanged. */
@@ -115,7 +116,7 @@
     return Fault.ok({ status: response.status, headers: responseHeaders(request, response), response });
   },
 
-  /** Reads the entire body; returns undefined if it was truncated, too long or too slow. */
-  readBody: (env: Environment, opened: DirectResponse, withinMs: number): Task<Buffer | undefined> =>
-    EnvironmentTools.readBody(env, opened.response, Constants.responseLimitBytes, withinMs),
+  /** Reads the entire body. Faults: "broken" if it was cut off, "invalid" if it is too long, "timeout" if it is too slow. */
+  readBody: (env: Environment, endpoint: Endpoint, opened: DirectResponse, withinMs: number): Task<Result<Buffer>> =>
+    new EndpointBody(env, endpoint.id, opened.response, "read reply").readAll(withinMs),
 };
--- a/src/forwarding/endpointHttp.ts
+++ b/src/forwarding/endpointHttp.ts
@@ -2,7 +2,8 @@
 import { Fault, Result } from "../common/fault";
 import type { Endpoint } from "../node/clusterSnapshot";
 import { Task } from "../runtime/csp";
-import { Environment, EnvironmentTools, HttpResponse } from "../runtime/env";
+import { Environment, HttpResponse } from "../runtime/env";
+import { EndpointBody } from "./endpointBody";
 import { EndpointStream } from "./endpointStream";
 import { impliesNotExecuted } from "./notExecutedStatus";
 
@@ -93,9 +94,9 @@
       response.abort();
       return Fault.fail("refused", "deliver", endpoint.id, "not accepted");
     }
-    const body = yield* EnvironmentTools.readBodyText(env, response, Constants.responseLimitBytes, request.deadlineMs);
-    if (body === undefined)
-      return Fault.fail("broken", "read replica", endpoint.id, "reply broken, too long or too slow");
+    const read = yield* new EndpointBody(env, endpoint.id, response, "read replica").readAll(request.deadlineMs);
+    if (!read.ok) return Fault.fail("broken", "read replica", endpoint.id, "reply broken, too long or too slow");
+    const body = read.value.toString("utf8");
     const { status } = response;
     if (status >= 500 || impliesNotExecuted(status))
       return Fault.fail("broken", "deliver", endpoint.id, `replica replied ${status}`);
--- a/src/forwarding/endpointStream.ts
+++ b/src/forwarding/endpointStream.ts
@@ -1,8 +1,8 @@
-import { Constants } from "../common/constants";
 import { Fault, Result } from "../common/fault";
 import type { Endpoint } from "../node/clusterSnapshot";
 import { Task } from "../runtime/csp";
-import { Environment, EnvironmentTools, HttpResponse } from "../runtime/env";
+import { Environment, HttpResponse } from "../runtime/env";
+import { EndpointBody } from "./endpointBody";
 
 /** One line of a stream: a chunk, or the end of the stream. */
 type StreamLine = { chunk: string } | { isEnd: true };
@@ -26,13 +26,15 @@
  */
 export class EndpointStream {
   private buffer = "";
-  private receivedBytes = 0;
   private hasEnded = false;
+  private readonly body: EndpointBody;
   constructor(
     private readonly env: Environment,
-    private readonly endpoint: Endpoint,
+    endpoint: Endpoint,
     private readonly response: HttpResponse,
-  ) {}
+  ) {
+    this.body = new EndpointBody(env, endpoint.id, response, "read replica");
+  }
 
   /**
    * Returns the chunks that have arrived, at least one, or undefined at the end. Each fault aborts the response: "timeout"
@@ -65,8 +67,8 @@
       this.buffer = this.buffer.slice(lineEnd + 1);
       if (line.trim() === "") continue;
       const parsed = parseLine(line);
-      if (parsed === undefined) return this.fail("invalid", "reply is not JSON lines");
-      if (parsed === null) return this.fail("invalid", "line is neither piece nor end");
+      if (parsed === undefined) return this.body.fail("invalid", "reply is not JSON lines");
+      if (parsed === null) return this.body.fail("invalid", "line is neither piece nor end");
       if ("isEnd" in parsed) this.hasEnded = true;
       else chunks.push(parsed.chunk);
     }
@@ -74,17 +76,10 @@
   }
 
   private *receiveData(withinMs: number): Task<Result<true>> {
-    const received = yield* EnvironmentTools.takeWithin(this.env, this.response.chunks, withinMs);
-    if (received === undefined) return this.fail("timeout", "replica fell silent");
-    if (received === null) return this.fail("broken", "replica ended without saying so");
-    this.receivedBytes += received.length;
-    if (this.receivedBytes > Constants.responseLimitBytes) return this.fail("invalid", "reply over the limit");
-    this.buffer += received.toString("utf8");
+    const received = yield* this.body.next(withinMs);
+    if (!received.ok) return received;
+    if (received.value === undefined) return this.body.truncated("replica ended without saying so");
+    this.buffer += received.value.toString("utf8");
     return Fault.ok(true);
   }
-
-  private fail(tag: "invalid" | "timeout" | "broken", detail: string): Result<never> {
-    this.response.abort();
-    return Fault.fail(tag, "read replica", this.endpoint.id, detail);
-  }
 }
--- a/src/forwarding/eventStreamReader.ts
+++ b/src/forwarding/eventStreamReader.ts
@@ -1,7 +1,7 @@
-import { Constants } from "../common/constants";
 import { Fault, Result } from "../common/fault";
 import { Task } from "../runtime/csp";
-import { Environment, EnvironmentTools, HttpResponse } from "../runtime/env";
+import { Environment, HttpResponse } from "../runtime/env";
+import { EndpointBody } from "./endpointBody";
 
 /** One server-sent event. */
 export interface StreamEvent {
@@ -41,14 +41,16 @@
 /** Reads a stream of server-sent events (WHATWG HTML, section 9.2) whose ids increase by one from event to event. */
 export class EventStreamReader {
   private buffer: Buffer = Buffer.alloc(0);
-  private receivedBytes = 0;
+  private readonly body: EndpointBody;
   /** `lastId` is the id that precedes the first expected event. */
   constructor(
     private readonly env: Environment,
-    private readonly endpointId: string,
-    private readonly response: HttpResponse,
+    endpointId: string,
+    response: HttpResponse,
     public lastId: number,
-  ) {}
+  ) {
+    this.body = new EndpointBody(env, endpointId, response, "read stream");
+  }
 
   /**
    * Returns the events that have arrived, at least one, or undefined at the end. Each fault aborts the response: "timeout" if
@@ -59,15 +61,10 @@
     for (;;) {
       const events = this.readEvents();
       if (!events.ok || events.value.length > 0) return events;
-      const chunk = yield* EnvironmentTools.takeWithin(
-        this.env,
-        this.response.chunks,
-        deadline - this.env.monotonicMs(),
-      );
-      if (chunk === undefined) return this.fail("timeout", "replica fell silent");
-      if (chunk === null) return this.checkEnd();
-      this.receivedBytes += chunk.length;
-      if (this.receivedBytes > Constants.responseLimitBytes) return this.fail("invalid", "reply over the limit");
+      const received = yield* this.body.next(deadline - this.env.monotonicMs());
+      if (!received.ok) return received;
+      const chunk = received.value;
+      if (chunk === undefined) return this.checkEnd();
       this.buffer = this.buffer.length === 0 ? chunk : Buffer.concat([this.buffer, chunk]);
     }
   }
@@ -82,7 +79,7 @@
       if (id !== this.lastId + 1) {
         // The events before it are valid; the next call returns the fault.
         if (events.length > 0) break;
-        return this.fail("broken", `event ${id} after ${this.lastId}`);
+        return this.body.fail("broken", `event ${id} after ${this.lastId}`);
       }
       this.buffer = this.buffer.subarray(end);
       this.lastId = id;
@@ -92,13 +89,6 @@
   }
 
   private checkEnd(): Result<undefined> {
-    if (this.response.isIncomplete()) return this.fail("broken", "reply ended early");
-    if (this.buffer.length > 0) return this.fail("broken", "reply ended inside an event");
-    return Fault.ok(undefined);
-  }
-
-  private fail(tag: "invalid" | "timeout" | "broken", detail: string): Result<never> {
-    this.response.abort();
-    return Fault.fail(tag, "read stream", this.endpointId, detail);
+    return this.buffer.length > 0 ? this.body.truncated("reply ended inside an event") : Fault.ok(undefined);
   }
 }
--- a/src/ingress/endpointAttempt.ts
+++ b/src/ingress/endpointAttempt.ts
@@ -21,9 +21,6 @@
   /** The request may have run. */
   | { tag: "failed"; fault: Fault };
 
-/** No Content and Not Modified. */
-const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
-
 const failed = (step: string, endpoint: Endpoint, detail: string): AttemptOutcome => ({
   tag: "failed",
   fault: { tag: "broken", step, member: endpoint.id, detail },
@@ -95,26 +92,19 @@
 
   private *relayBody(opened: DirectResponse): Task<AttemptOutcome> {
     const { exchange, responseOpen, route } = this.pending;
-    const body = yield* DirectHttp.readBody(this.context.env, opened, this.leftMs());
-    if (!body && this.callerDisconnected()) return { tag: "callerDisconnected" };
-    if (!body) return failed("read reply", this.endpoint, "reply was cut, too long or too slow");
+    const body = yield* DirectHttp.readBody(this.context.env, this.endpoint, opened, this.leftMs());
+    if (!body.ok && this.callerDisconnected()) return { tag: "callerDisconnected" };
+    if (!body.ok) return failed("read reply", this.endpoint, "reply was cut, too long or too slow");
     const mustNotReachCaller =
       responseOpen || impliesNotExecuted(opened.status) || (opened.status >= 500 && route.safe);
     if (mustNotReachCaller) return failed("read reply", this.endpoint, `replica replied ${opened.status}`);
     const headers = { ...opened.headers, ...this.responses.closeHeader() };
-    const sendFramed = !this.endsWithConnection(opened) || !exchange.sendUntilClose;
-    if (sendFramed) exchange.send(opened.status, headers, body);
-    else exchange.sendUntilClose!(opened.status, headers, body);
+    // An endpoint that crashes may close its connection in order too, so such a body isn't framed as complete.
+    if (opened.response.framing === "connection") exchange.sendUntilClose(opened.status, headers, body.value);
+    else exchange.send(opened.status, headers, body.value);
     return { tag: "responded", status: opened.status };
   }
 
-  /** Whether only the end of the connection marks the end of the body; an endpoint that crashes also ends it. */
-  private endsWithConnection({ status, response }: DirectResponse): boolean {
-    const hasBody = this.pending.forwarded.method !== "HEAD" && !bodilessStatuses.has(status);
-    const { "content-length": length, "transfer-encoding": encoding } = response.headers;
-    return hasBody && length === undefined && encoding === undefined;
-  }
-
   private *relayStream(opened: DirectResponse, firstEventWithinMs: number): Task<AttemptOutcome> {
     const { pending } = this;
     const { exchange, forwarded } = pending;
--- a/src/ingress/ingressNode.ts
+++ b/src/ingress/ingressNode.ts
@@ -6,6 +6,7 @@
 import { Constants } from "../common/constants";
 import { Fault, Result } from "../common/fault";
 import { Settings } from "../common/settings";
+import { CutResponses } from "../forwarding/cutResponses";
 import { HeaderNames, defaultHeaderNames } from "../forwarding/headerNames";
 import type { ClusterSnapshot } from "../node/clusterSnapshot";
 import { Node } from "../node/node";
@@ -114,6 +115,7 @@
     const snapshot = this.snapshot();
     return {
       ...this.counters.metrics(),
+      ...CutResponses.of(this.env).metrics(),
       slab_used: this.requestTable.usedSlots,
       late_replies: this.requestTable.lateOutcomes,
       in_flight: this.inFlight,
--- a/src/runtime/http.ts
+++ b/src/runtime/http.ts
@@ -1,4 +1,6 @@
 import { Result } from "../common/fault";
+import type { BodyEnd } from "./bodyEnd";
+import type { BodyFraming } from "./bodyFraming";
 import { Chan, Task } from "./csp";
 
 /** Limits on the requests and connections of callers. */
@@ -11,6 +13,9 @@
   readonly idleMs: number;
 }
 
+/** The framings of a response whose length is not known in advance. */
+export type StreamFraming = Extract<BodyFraming, "chunked" | "connection">;
+
 /** A request that the server received, and the response to it. */
 export interface HttpExchange {
   readonly method: string;
@@ -32,14 +37,14 @@
   send(status: number, headers: Record<string, string>, body: string | Buffer): void;
   /**
    * Sends a response that is delimited by the end of the connection (RFC 9112, section 6.3), for a body that may be
-   * incomplete and so must not be framed as complete. Undefined in environments without real connections.
+   * incomplete and so must not be framed as complete.
    */
-  sendUntilClose?(status: number, headers: Record<string, string>, body: Buffer): void;
-  /** Starts a streamed response, which `write` continues and `end` completes. */
-  startStream(status: number, headers: Record<string, string>): void;
+  sendUntilClose(status: number, headers: Record<string, string>, body: Buffer): void;
+  /** Starts a streamed response, which `write` continues and `end` completes. It is chunked if no framing is given. */
+  startStream(status: number, headers: Record<string, string>, framing?: StreamFraming): void;
   write(chunk: string | Buffer): void;
   end(): void;
-  /** Closes the connection, so that the caller can tell that the response is incomplete. */
+  /** Closes the connection, by a reset if the framing requires it, so that the caller sees an incomplete response. */
   abort(): void;
 }
 
@@ -48,8 +53,11 @@
   readonly status: number;
   /** The headers by lower-case name. */
   readonly headers: Record<string, string>;
+  readonly framing: BodyFraming;
   /** The chunks of the body; closed at its end. */
   readonly chunks: Chan<Buffer>;
+  /** Returns how the body ended; valid once `chunks` is closed. */
+  bodyEnd(): BodyEnd;
   /** Returns whether the body is incomplete; valid once `chunks` is closed. */
   isIncomplete(): boolean;
   abort(): void;
--- a/src/runtime/httpClient.ts
+++ b/src/runtime/httpClient.ts
@@ -1,6 +1,9 @@
 import type * as http from "http";
 import type * as net from "net";
 import { Constants } from "../common/constants";
+import { bodyEnd } from "./bodyEnd";
+import { bodyFraming } from "./bodyFraming";
+import { ConnectionEnds } from "./connectionEnd";
 import { Csp, Task } from "./csp";
 import { Fault, Result } from "../common/fault";
 import { parseAddress, forwardToChannel, streamScope, awaitCallback } from "./callbacks";
@@ -40,7 +43,11 @@
   return (sharedAgent ??= new KeepAliveAgent({ keepAlive: true, maxSockets: 512, maxFreeSockets: 24 }));
 }
 
-function responseOf(response: http.IncomingMessage): HttpResponse {
+function responseOf(method: string, response: http.IncomingMessage): HttpResponse {
+  const { socket } = response;
+  const status = response.statusCode ?? 0;
+  const headers = response.headers as Record<string, string>;
+  const framing = bodyFraming(method, status, headers);
   const chunks = Csp.chan<Buffer>(64);
   let isComplete = false;
   const put = forwardToChannel(response, chunks);
@@ -54,9 +61,11 @@
   response.on("close", () => chunks.close());
   response.on("error", () => undefined);
   return {
-    status: response.statusCode ?? 0,
-    headers: response.headers as Record<string, string>,
+    status,
+    headers,
+    framing,
     chunks,
+    bodyEnd: () => bodyEnd(framing, isComplete, ConnectionEnds.of(socket)),
     isIncomplete: () => !isComplete,
     abort: () => void response.destroy(),
     discardBody: () => {
@@ -108,6 +117,7 @@
           sent = true;
           return;
         }
+        ConnectionEnds.observe(socket);
         const connectTimer =
           options.connectTimeoutMs === undefined
             ? undefined
@@ -130,7 +140,7 @@
       });
       request.on("response", (response) => {
         clearTimeout(timer);
-        done(Fault.ok(responseOf(response)));
+        done(Fault.ok(responseOf(options.method, response)));
       });
       request.end(options.body);
     });
--- a/src/runtime/httpServer.ts
+++ b/src/runtime/httpServer.ts
@@ -178,7 +178,7 @@
         yield* handler(exchange);
       } catch (error) {
         // Without a response, the caller would wait for a handler that has failed.
-        if (response.headersSent) response.destroy();
+        if (response.headersSent) exchange.abort();
         else exchange.send(500, {}, "");
         throw error;
       }
@@ -196,6 +196,13 @@
       const isKept = response.shouldKeepAlive && headers.connection === undefined && this.keepAliveHeader !== "";
       response.writeHead(status, isKept ? { ...headers, "keep-alive": this.keepAliveHeader } : headers);
     };
+    // HTTP/1.0 has no chunked encoding.
+    let endsWithConnection = request.httpVersion === "1.0";
+    const frameByConnection = (): void => {
+      endsWithConnection = true;
+      response.shouldKeepAlive = false;
+      response.useChunkedEncodingByDefault = false;
+    };
     return {
       method: request.method ?? "GET",
       path: queryStart < 0 ? target : target.slice(0, queryStart),
@@ -216,21 +223,21 @@
       },
       sendUntilClose(status, headers, body) {
         if (response.headersSent || response.destroyed) return;
-        response.shouldKeepAlive = false;
-        response.useChunkedEncodingByDefault = false;
+        frameByConnection();
         writeHead(status, headers);
         response.end(body);
       },
-      startStream(status, headers) {
+      startStream(status, headers, framing = "chunked") {
         if (response.headersSent || response.destroyed) return;
+        if (framing === "connection") frameByConnection();
         writeHead(status, headers);
         response.flushHeaders();
       },
       write: (chunk) => void (response.destroyed || response.write(chunk)),
       end: () => void (response.destroyed || response.end()),
       abort() {
-        // HTTP/1.0 has no chunked encoding, so an ordinary close would look like the end of the body.
-        if (request.httpVersion === "1.0") request.socket.resetAndDestroy();
+        // An ordinary close would look like the end of a body that only the end of the connection ends.
+        if (endsWithConnection) request.socket.resetAndDestroy();
         response.destroy();
       },
     };
--- a/src/simulation/simHttp.ts
+++ b/src/simulation/simHttp.ts
@@ -1,6 +1,8 @@
-import { Chan, Csp } from "../runtime/csp";
-import { Task } from "../runtime/csp";
-import { HttpExchange, HttpRequest, HttpResponse } from "../runtime/env";
+import { bodyEnd } from "../runtime/bodyEnd";
+import { bodyFraming } from "../runtime/bodyFraming";
+import type { ConnectionEnd } from "../runtime/connectionEnd";
+import { Chan, Csp, Task } from "../runtime/csp";
+import { BodyFraming, HttpExchange, HttpRequest, HttpResponse } from "../runtime/env";
 import { Fault, Result } from "../common/fault";
 import { NetworkClock, PipeSend, SimNetwork } from "./simNetwork";
 import type { SimProcess } from "./simProcess";
@@ -18,7 +20,8 @@
 interface OpenExchange {
   client: SimProcess;
   server: SimProcess;
-  disconnectClient: () => void;
+  /** Without the way in which the server ended the connection, the client ended it itself. */
+  disconnectClient: (how?: ConnectionEnd) => void;
   disconnectServer: () => void;
 }
 type RequestState = "connecting" | "sent" | "responded" | "closed";
@@ -63,7 +66,10 @@
   private readonly toClient: PipeSend;
   private readonly exchange: OpenExchange;
   readonly incoming: HttpExchange;
-  private isComplete = false;
+  private framing: BodyFraming = "none";
+  /** As at the HTTP client of Node.js, which reports a message without other framing as ended also after a reset. */
+  private sawMessageEnd = false;
+  private connectionEnd: ConnectionEnd | undefined;
   private isHeadSent = false;
 
   constructor(
@@ -77,8 +83,10 @@
     this.exchange = {
       client,
       server,
-      disconnectClient: () => {
+      disconnectClient: (how) => {
         request.reset();
+        this.connectionEnd ??= how;
+        if (this.framing === "connection" && how !== undefined) this.sawMessageEnd = true;
         this.chunks.close();
       },
       disconnectServer: () =>
@@ -93,14 +101,17 @@
     http.exchanges.add(this.exchange);
   }
 
-  private sendHead(status: number, headers: Record<string, string>): boolean {
+  private sendHead(status: number, headers: Record<string, string>, framing: BodyFraming): boolean {
     if (this.isHeadSent) return false;
     this.isHeadSent = true;
+    this.framing = framing;
     const response: HttpResponse = {
       status,
       headers,
+      framing,
       chunks: this.chunks,
-      isIncomplete: () => !this.isComplete,
+      bodyEnd: () => bodyEnd(framing, this.sawMessageEnd, this.connectionEnd),
+      isIncomplete: () => !this.sawMessageEnd,
       discardBody: () => undefined,
       abort: () => {
         this.request.state = "closed";
@@ -118,10 +129,16 @@
     this.http.exchanges.delete(this.exchange);
     this.disconnected.close();
     this.toClient(() => {
-      this.isComplete = true;
+      this.sawMessageEnd = true;
+      if (this.framing === "connection") this.connectionEnd ??= "closed";
       this.chunks.close();
     });
   }
+  private sendBody(status: number, headers: Record<string, string>, framing: BodyFraming, body: string | Buffer): void {
+    if (!this.sendHead(status, headers, framing)) return;
+    this.sendChunk(body);
+    this.sendEnd();
+  }
   private createIncoming(client: SimProcess, outgoing: HttpRequest): HttpExchange {
     const url = new URL(outgoing.path, "http://host");
     return {
@@ -140,14 +157,17 @@
           : Fault.ok(data);
       },
       send: (status, headers, body) => {
-        if (!this.sendHead(status, headers)) return;
-        this.sendChunk(body);
-        this.sendEnd();
+        const lengthHeader = { "content-length": String(Buffer.byteLength(body)) };
+        this.sendBody(status, headers, bodyFraming(outgoing.method, status, lengthHeader), body);
       },
-      startStream: (status, headers) => void this.sendHead(status, headers),
+      sendUntilClose: (status, headers, body) => this.sendBody(status, headers, "connection", body),
+      startStream: (status, headers, framing = "chunked") => void this.sendHead(status, headers, framing),
       write: (chunk) => this.sendChunk(chunk),
       end: () => this.sendEnd(),
-      abort: () => this.toClient(() => this.exchange.disconnectClient()),
+      abort: () => {
+        const how = this.framing === "connection" ? "reset" : "closed";
+        this.toClient(() => this.exchange.disconnectClient(how));
+      },
     };
   }
 }
@@ -183,7 +203,7 @@
   disconnectExchangesOf(process: SimProcess): void {
     for (const exchange of [...this.exchanges]) {
       const { client, server } = exchange;
-      if (server === process) this.network.send(process, client, () => exchange.disconnectClient());
+      if (server === process) this.network.send(process, client, () => exchange.disconnectClient("reset"));
       if (client === process) this.network.send(process, server, () => exchange.disconnectServer());
       if (server === process || client === process) this.exchanges.delete(exchange);
     }
--- a/src/storage/batchJobs/itemExecution.ts
+++ b/src/storage/batchJobs/itemExecution.ts
@@ -99,10 +99,10 @@
     if ((headers["content-type"] ?? "").includes("event-stream"))
       return yield* this.readEvents(open, item, endpoint, opened);
     const progress = progressOf(open, item);
-    const body = yield* DirectHttp.readBody(this.env, opened, Constants.chunkTimeoutMs);
-    if (body === undefined || progress.lastEventId > 0)
+    const body = yield* DirectHttp.readBody(this.env, endpoint, opened, Constants.chunkTimeoutMs);
+    if (!body.ok || progress.lastEventId > 0)
       return { tag: "interrupted", why: "reply cut, or no events to go on with" };
-    return { tag: "done", result: body.toString("utf8") };
+    return { tag: "done", result: body.value.toString("utf8") };
   }
 
   /** Reads a stream. Its result is the data of all events, one line for each. */
--- a/src/storage/storageNode.ts
+++ b/src/storage/storageNode.ts
@@ -1,3 +1,4 @@
+import { CutResponses } from "../forwarding/cutResponses";
 import { HeaderNames, defaultHeaderNames } from "../forwarding/headerNames";
 import { OperatorHttp } from "../adapters/operatorHttp";
 import { Constants } from "../common/constants";
@@ -190,6 +191,7 @@
       restamped_puts: this.shardClient.restampedPuts,
       affinity_hits: this.endpointSelector.affinityHits,
       affinity_misses: this.endpointSelector.affinityMisses,
+      ...CutResponses.of(this.env).metrics(),
       ...this.claimedWork.metrics(),
       ...this.batchWork.metrics(),
     };
--- a/test/fuzz.test.ts
+++ b/test/fuzz.test.ts
@@ -125,7 +125,9 @@
       const response: HttpResponse = {
         status: 200,
         headers: {},
+        framing: "chunked",
         chunks,
+        bodyEnd: () => "complete",
         isIncomplete: () => false,
         abort: () => (aborted = true),
         discardBody: () => undefined,
