Simulate responses that endpoints frame in every way and break off

Change: StandInEventEndpoint takes a framing and a content type for each response; scenario 47, responses-cut, runs such endpoints under lookups and streams that may and may not be repeated, breaks off a third of the responses, kills an ingress and changes the configuration meanwhile. Invariant cut-looks-cut: an answer that ends early must not look complete. The announcement of a stand-in endpoint stands once (tools/endpointAnnouncements).

--- a/scripts/guardMutations/mutations.js
+++ b/scripts/guardMutations/mutations.js
@@ -278,6 +278,18 @@
       },
     ],
   },
+  {
+    name: "reset-is-no-end",
+    scenario: "responses-cut",
+    expectedInvariants: ["cut-looks-cut"],
+    edits: [
+      {
+        file: "runtime/bodyEnd.js",
+        find: 'framing === "connection" ? connectionEnd === "closed" : sawMessageEnd',
+        replacement: "sawMessageEnd",
+      },
+    ],
+  },
   {
     name: "stream-resumes-at-its-piece",
     scenario: "replicas-crash",
--- a/src/simulation/scenarios/scenarios.ts
+++ b/src/simulation/scenarios/scenarios.ts
@@ -4,6 +4,7 @@
 import { networkScenarios } from "./networkScenarios";
 import { operatorScenarios } from "./operatorScenarios";
 import { processScenarios } from "./processScenarios";
+import { responseScenarios } from "./responseScenarios";
 import { endpointScenarios } from "./endpointScenarios";
 import { faultPoints, Scenario } from "./scenario";
 
@@ -18,6 +19,7 @@
   ...operatorScenarios,
   ...clockScenarios,
   ...combinedScenarios,
+  ...responseScenarios,
 ];
 
 /** All scenarios, with their numbers. */
--- a/src/tools/checker/checker.ts
+++ b/src/tools/checker/checker.ts
@@ -10,7 +10,14 @@
 import { deregisteredRespected, drainRespected, slowStartRespected } from "./endpointInvariants";
 import { CheckOptions, Invariant, ObservedEndpoint, Violation } from "./invariant";
 import { acknowledgedOnEveryMember, oneLedgerOrder } from "./replicationInvariants";
-import { busyMeansNotRun, neverRunsTwice, noFalseSuccess, rightCaller, streamExact } from "./responseInvariants";
+import {
+  busyMeansNotRun,
+  cutLooksCut,
+  neverRunsTwice,
+  noFalseSuccess,
+  rightCaller,
+  streamExact,
+} from "./responseInvariants";
 
 export type { CheckOptions, ObservedEndpoint, Violation } from "./invariant";
 
@@ -21,6 +28,7 @@
   neverRunsTwice,
   busyMeansNotRun,
   streamExact,
+  cutLooksCut,
   jobDurable,
   acknowledgedOnEveryMember,
   jobReadable,
--- a/src/tools/checker/responseInvariants.ts
+++ b/src/tools/checker/responseInvariants.ts
@@ -92,3 +92,13 @@
       .map(({ stream, pieces, wanted }) => `stream ${stream} ended with ${pieces} of ${wanted} chunks`),
   ],
 };
+
+export const cutLooksCut: Invariant = {
+  name: "cut-looks-cut",
+  requirement: "An answer that ends early must not look complete",
+  check: (history) =>
+    history
+      .of("directResponse")
+      .filter(({ looksComplete, isWhole }) => looksComplete && !isWhole)
+      .map(({ requestId }) => `the response to ${requestId} looks complete but is not the endpoint's whole body`),
+};
--- a/src/tools/history.ts
+++ b/src/tools/history.ts
@@ -42,6 +42,16 @@
   /** Whether it was the next chunk and had the expected text. */
   right: boolean;
 }
+/** The response with status 200 to a request that was forwarded by host and path. */
+interface DirectResponseObservation {
+  tag: "directResponse";
+  at: number;
+  requestId: string;
+  /** Whether its framing and the end of its connection mark it as complete. */
+  looksComplete: boolean;
+  /** Whether it has the endpoint's whole body. */
+  isWhole: boolean;
+}
 /** The end of a stream. */
 interface StreamEndObservation {
   tag: "streamEnd";
@@ -240,6 +250,7 @@
   | FailedObservation
   | ChunkObservation
   | StreamEndObservation
+  | DirectResponseObservation
   | SingleObservation
   | JobAcceptedObservation
   | JobResultObservation
--- a/src/tools/standInEndpoint.ts
+++ b/src/tools/standInEndpoint.ts
@@ -1,12 +1,15 @@
 import { Result } from "../common/fault";
 import { Csp, Task } from "../runtime/csp";
 import { Environment, EnvironmentTools, HttpExchange } from "../runtime/env";
+import {
+  ANNOUNCE_INTERVAL_MS,
+  ANNOUNCE_RESPONSE_LIMIT_BYTES,
+  ANNOUNCE_TIMEOUT_MS,
+  announceEndpoint,
+} from "./endpointAnnouncements";
 
 const BODY_LIMIT_BYTES = 4_000_000;
-const ANNOUNCE_INTERVAL_MS = 900;
 const ANNOUNCE_RETRY_MS = 100;
-const ANNOUNCE_TIMEOUT_MS = 500;
-const ANNOUNCE_RESPONSE_LIMIT_BYTES = 10_000;
 /** How long the announcement loop sleeps at a time once it is over, ms: if it returned, its supervisor would restart it. */
 const IDLE_MS = 3_600_000;
 /** Number of leading characters of a prompt that form its prefix. */
@@ -136,23 +139,11 @@
     }
     for (;;) yield* EnvironmentTools.sleep(this.env, IDLE_MS);
   }
-  private *announce(ingress: string): Task<boolean> {
+  private announce(ingress: string): Task<boolean> {
     const { id, address, pool, district, version, capacity } = this.settings;
     const { active, instance } = this;
-    const response = yield* this.env.httpRequest(ingress, {
-      method: "PUT",
-      path: `/v1/replicas/${id}`,
-      body: JSON.stringify({ address, pool, district, version, capacity, active, waiting: 0, instance }),
-      timeoutMs: ANNOUNCE_TIMEOUT_MS,
-    });
-    if (response.ok)
-      yield* EnvironmentTools.readBodyText(
-        this.env,
-        response.value,
-        ANNOUNCE_RESPONSE_LIMIT_BYTES,
-        ANNOUNCE_TIMEOUT_MS,
-      );
-    return response.ok;
+    const announcement = { id, address, pool, district, version, capacity, active, waiting: 0, instance };
+    return announceEndpoint(this.env, ingress, announcement);
   }
 
   private *serve(exchange: HttpExchange): Task<void> {
--- a/src/tools/standInEventEndpoint.ts
+++ b/src/tools/standInEventEndpoint.ts
@@ -1,5 +1,5 @@
 import { Csp, Task } from "../runtime/csp";
-import { Environment, EnvironmentTools, HttpExchange } from "../runtime/env";
+import { Environment, EnvironmentTools, HttpExchange, StreamFraming } from "../runtime/env";
 import { HeaderNames, defaultHeaderNames } from "../forwarding/headerNames";
 
 /** A run of a request at the endpoint. */
@@ -16,12 +16,17 @@
   events: number;
   isComplete: boolean;
 };
+/** The form of a response; a chunked event stream unless it says otherwise. */
+interface ResponseForm {
+  framing?: StreamFraming;
+  contentType?: string;
+}
 /** How the endpoint handles a request. */
 export type RequestBehavior =
   /** It sends all events. */
-  | { tag: "complete" }
+  | ({ tag: "complete" } & ResponseForm)
   /** It aborts the connection after the event with this id. */
-  | { tag: "cut"; after: number }
+  | ({ tag: "cut"; after: number } & ResponseForm)
   /** It runs the request and responds with an error status. */
   | { tag: "status"; status: number }
   /** It rejects the request without running it. */
@@ -31,6 +36,7 @@
 
 /** Returns the data of the n-th event of a request, counted from 1. */
 const eventOf = (id: string, n: number): string => `${id} says ${n}`;
+const eventTextOf = (id: string, n: number): string => `id: ${n}\ndata: ${eventOf(id, n)}\n\n`;
 
 /**
  * A stand-in endpoint that responds to each request with a stream of server-sent events whose ids count up from 1. It
@@ -61,6 +67,9 @@
   /** Returns the data of all events of a request, joined by line feeds. */
   static textOf = (id: string, events: number): string =>
     Array.from({ length: events }, (_item, index) => eventOf(id, index + 1)).join("\n");
+  /** Returns the body of a complete response to a request. */
+  static bodyOf = (id: string, events: number): string =>
+    Array.from({ length: events }, (_item, index) => eventTextOf(id, index + 1)).join("");
   /** Starts to serve requests; returns false if the address is in use. */
   *start(): Task<boolean> {
     return (yield* this.env.serveHttp(this.address, (exchange) => this.serve(exchange))).ok;
@@ -98,13 +107,14 @@
     try {
       if (behavior.tag === "silent") return void (yield* Csp.take(exchange.disconnected));
       if (behavior.tag === "status") return exchange.send(behavior.status, responseHeaders, "sorry");
-      exchange.startStream(200, { ...responseHeaders, "content-type": "text/event-stream" });
+      const { framing, contentType = "text/event-stream" } = behavior;
+      exchange.startStream(200, { ...responseHeaders, "content-type": contentType }, framing);
       for (let n = after + 1; n <= this.options.events; n += 1) {
         yield* EnvironmentTools.sleep(this.env, this.options.eventMs);
         if (exchange.disconnected.isClosed()) return;
         if (behavior.tag === "cut" && n > behavior.after) return exchange.abort();
         run.events += 1;
-        exchange.write(`id: ${n}\ndata: ${eventOf(id, n)}\n\n`);
+        exchange.write(eventTextOf(id, n));
       }
       run.isComplete = true;
       exchange.end();
--- a/test/checker.test.ts
+++ b/test/checker.test.ts
@@ -84,6 +84,17 @@
       endpoints: [endpoint("r", [["req-a", 5]])],
     },
   },
+  "cut-looks-cut": {
+    violating: {
+      observations: [{ tag: "directResponse", at: 1, requestId: "q", looksComplete: true, isWhole: false }],
+    },
+    valid: {
+      observations: [
+        { tag: "directResponse", at: 1, requestId: "q", looksComplete: false, isWhole: false },
+        { tag: "directResponse", at: 1, requestId: "r", looksComplete: true, isWhole: true },
+      ],
+    },
+  },
   "stream-exact": {
     violating: { observations: [{ tag: "streamPiece", stream: 1, n: 3, right: false }] },
     valid: {
