--- a/test/batchJobDays.test.ts
+++ b/test/batchJobDays.test.ts
@@ -56,7 +56,22 @@
     await fleet.world.run(2500);
     for (const endpoint of fleet.endpoints) endpoint.behavior = usualBehavior;
   },
+  // Guards against an item whose response was reset on the way and is stored as complete (users' rule MIXED, review case 2).
+  "responses without a length are reset": async (fleet) => {
+    for (const endpoint of fleet.endpoints)
+      endpoint.behavior = (id, attempt) =>
+        withoutLength(attempt < 3 ? cutOrUsualBehavior(id, fleet.world.random()) : usualBehavior(id));
+    await fleet.world.run(2500);
+    for (const endpoint of fleet.endpoints) endpoint.behavior = usualBehavior;
+  },
 };
+const CUT_SHARE = 0.4;
+const cutOrUsualBehavior = (id: string, draw: number): ReturnType<StandInEventEndpoint["behavior"]> =>
+  draw < CUT_SHARE ? { tag: "cut", after: Math.floor((draw / CUT_SHARE) * EVENTS_PER_ITEM) } : usualBehavior(id);
+const withoutLength = (
+  behavior: ReturnType<StandInEventEndpoint["behavior"]>,
+): ReturnType<StandInEventEndpoint["behavior"]> =>
+  behavior.tag === "complete" || behavior.tag === "cut" ? { ...behavior, framing: "connection" } : behavior;
 const faultyBehavior = (id: string, draw: number): ReturnType<StandInEventEndpoint["behavior"]> =>
   draw < 0.2
     ? { tag: "cut", after: Math.floor(draw * 40) }
