Test that an endpoint which resets its responses is ejected

Change: replicaSockets.test.ts: of two endpoints one resets each response. All requests are served, and the endpoint gets no more than the number of failures that ejects it.

--- a/test/replicaSockets.test.ts
+++ b/test/replicaSockets.test.ts
@@ -1,4 +1,5 @@
 import * as net from "net";
+import { Constants } from "../src/common/constants";
 import { defaultHeaderNames } from "../src/forwarding/headerNames";
 import { Route } from "../src/controlState/configuration";
 import { ControlSnapshot } from "../src/controlState/controlSnapshot";
@@ -278,6 +279,19 @@
       expect(status(await sendOnce("q2"))).toBe(200);
     });
   }
+  test("an endpoint that resets its responses is ejected as an outlier, and the others serve without it", async () => {
+    await startIngress({ safe: true }, [resetBody(0), respond]);
+    let cutCount = 0;
+    let servedCount = 0;
+    for (let n = 1; n <= 12; n += 1) {
+      receivedRequests.length = 0;
+      servedCount += status(await sendOnce(`q${n}`)) === 200 ? 1 : 0;
+      cutCount += receivedRequests.filter(({ instance }) => instance === "i0").length;
+    }
+    expect(servedCount).toBe(12);
+    expect(cutCount).toBeGreaterThan(0);
+    expect(cutCount).toBeLessThanOrEqual(Constants.ejectFailures);
+  });
   test("a caller that speaks HTTP/1.0, in which the end of the connection ends a stream, sees a reset", async () => {
     const cut = streamEvents(3, "reset", 40);
     await startIngress({ kind: "stream" }, [cut]);
