--- a/src/simulation/simFleet.ts
+++ b/src/simulation/simFleet.ts
@@ -1,7 +1,6 @@
 import { Constants } from "../common/constants";
 import { Daemon, RunningDaemon } from "../daemon/daemon";
-import { Csp, Task } from "../runtime/csp";
-import { EnvironmentTools } from "../runtime/env";
+import { Csp } from "../runtime/csp";
 import { ControlNode } from "../control/controlNode";
 import { StorageNode } from "../storage/storageNode";
 import { ShardView } from "../controlState/shardView";
@@ -13,9 +12,10 @@
 import { EndpointSettings, StandInEndpoint } from "../tools/standInEndpoint";
 import { MembersBody } from "../cli/operator/responses";
 import { DiskAudit } from "./diskAudit";
+import { FleetObserver } from "./fleetObserver";
 import { SimDisk } from "./simDisk";
 import { WALL_CLOCK_START_MS } from "./simEnvironment";
-import { ChangeOutcome, ConfigurationBody, LedgerPage, markersOf, NodeResponse, SimOperator } from "./simOperator";
+import { ChangeOutcome, ConfigurationBody, NodeResponse, SimOperator } from "./simOperator";
 import { SimProcess, SimWorld } from "./simWorld";
 import { UnreachableWindows } from "./unreachableWindows";
 
@@ -24,15 +24,9 @@
 const READY_POLL_MS = 200; // interval between checks whether the fleet is ready
 const CONFIGURE_ATTEMPTS = 60;
 const READY_ATTEMPTS = 100;
-const SAMPLE_PERIOD_MS = 400; // interval between samples of the configuration in force
-const SAMPLE_TIMEOUT_MS = 400;
-const LEDGER_READ_PERIOD_MS = 700; // interval between reads of the new ledger entries
-const LEDGER_TIMEOUT_MS = 1500;
 const TERMINATION_TIMEOUT_MS = 15_000; // time that a process may take to end after SIGTERM
 const RECONNECT_MS = 4000; // time after a start or the end of a partition until a node counts as reachable
 const RESUME_RECONNECT_MS = 2500; // time after a resume until a node counts as reachable
-const FINAL_LEDGER_PAGE_SIZE = 1500;
-const FINAL_LEDGER_MAX_PAGES = 30;
 
 /** How a machine restarts. */
 export interface RestartOptions {
@@ -68,6 +62,7 @@
   readonly errors: string[] = [];
   callers!: Callers;
   private operator!: SimOperator;
+  private observer!: FleetObserver;
   private readonly unreachable = new UnreachableWindows();
   private readonly audit = new DiskAudit(this);
   private settledAt = 0;
@@ -77,7 +72,6 @@
   /** What was done to the fleet, as evidence that the scenario did something. */
   readonly actions: string[] = [];
   readonly notes: string[] = [];
-  readonly ledgerStampsRead: string[] = [];
 
   constructor(
     readonly deployment: Deployment,
@@ -102,6 +96,7 @@
   /** Starts and configures all nodes, waits until they are ready and starts the callers. */
   async boot(load = 1): Promise<void> {
     this.operator = new SimOperator(this, this.world.start("operator", new SimDisk(this.world)), this.history);
+    this.observer = new FleetObserver(this, this.operator, this.history);
     for (const each of this.plan.processes) this.start(each.name);
     for (const settings of this.plan.endpoints) this.startEndpoint(settings);
     await this.run(1500);
@@ -112,7 +107,7 @@
     this.callers = new Callers(caller.env, this.deployment.mix, this.plan.ingressHttp, this.history);
     this.callers.start(load);
     this.settledAt = this.wallMs();
-    this.startObserving();
+    this.observer.start();
     await this.run(2000);
   }
   /** Sends a versioned document, by its name on the wire, until a node accepts it. */
@@ -143,44 +138,6 @@
       .slice(-40)
       .join("\n");
   }
-  /** Starts to record for the checker which configuration is in force at each ingress, and the entries of the ledger. */
-  private startObserving(): void {
-    const { scope } = this.operator.process;
-    Csp.go(scope, "sample configurations", () => this.sampleConfigurations());
-    Csp.go(scope, "follow the ledger", () => this.readLedgerContinuously());
-  }
-  private *sampleConfigurations(): Task<void> {
-    for (;;) {
-      for (const address of this.plan.ingressHttp) {
-        const request = { method: "GET", path: "/v1/inforce", address, timeoutMs: SAMPLE_TIMEOUT_MS };
-        const response = yield* this.operator.request(request);
-        if (response?.status !== 200) continue;
-        const { manifest } = response.body as { manifest: ConfigurationBody };
-        const mark = markersOf(manifest.doc);
-        this.history.add({ tag: "inForce", at: this.wallMs(), node: address, version: manifest.version, mark });
-      }
-      yield* EnvironmentTools.sleep(this.operator.process.env, SAMPLE_PERIOD_MS);
-    }
-  }
-  /** Reads new ledger entries from the ingresses in turn. The final ledger must contain them all in the same order. */
-  private *readLedgerContinuously(): Task<void> {
-    const addresses = this.plan.ingressHttp;
-    let after = "";
-    for (let round = 0; ; round += 1) {
-      const path = `/v1/ledger?limit=1000&after=${encodeURIComponent(after)}`;
-      const address = addresses[round % addresses.length];
-      const response = yield* this.operator.request({ method: "GET", path, address, timeoutMs: LEDGER_TIMEOUT_MS });
-      if (response?.status === 200) {
-        const { entries, next } = response.body as LedgerPage;
-        if (entries.length > 0) {
-          this.ledgerStampsRead.push(...entries.map((entry) => entry.stamp));
-          after = next;
-        }
-      }
-      yield* EnvironmentTools.sleep(this.operator.process.env, LEDGER_READ_PERIOD_MS);
-    }
-  }
-
   /** The storage node of a process, if it runs. */
   private storageNode = (name: string): StorageNode | undefined =>
     this.names("store").includes(name) ? (this.daemons.get(name) as StorageNode | undefined) : undefined;
@@ -454,7 +411,7 @@
     this.world.heal();
     for (const process of this.world.processes.values()) process.resume();
     await this.finishCallers();
-    await this.readBack();
+    await this.observer.readBack();
     for (const name of this.world.processes.keys()) this.collectErrors(name);
     this.audit.recordDisks(this.history);
     const violations = this.checkHistory();
@@ -467,17 +424,6 @@
     for (const address of this.plan.ingressHttp.slice(0, 3))
       await this.world.runTask(this.operator.process, () => this.callers.reread(address), 200_000);
   }
-  private async readBack(): Promise<void> {
-    const response = await this.send("GET", "/v1/manifest");
-    const configuration = response?.status === 200 ? (response.body as ConfigurationBody) : undefined;
-    const mark = configuration ? markersOf(configuration.doc) : "";
-    this.history.add({ tag: "dayEnd", at: this.wallMs(), version: configuration?.version ?? 0, mark });
-    this.history.add({ tag: "ledger", at: this.wallMs(), ingress: "the follower", stamps: this.ledgerStampsRead });
-    for (const address of this.plan.ingressHttp.slice(0, 2)) {
-      const stamps = await this.operator.readLedger(address, FINAL_LEDGER_PAGE_SIZE, FINAL_LEDGER_MAX_PAGES);
-      this.history.add({ tag: "ledger", at: this.wallMs(), ingress: address, stamps });
-    }
-  }
   private checkHistory(): Violation[] {
     const options: CheckOptions = {
       plannedOnly: this.plannedOnly,
