Remove code of the measuring tools that nothing uses

Cause: docs/status.md lists it as without a use: LightweightMember.startAll, ControlGroupExperiments.burst, MembershipExperiments.measureOneSize, and the export of Report.formatDurations.

--- a/src/tools/report.ts
+++ b/src/tools/report.ts
@@ -18,7 +18,6 @@
  * console.log(Report.text(history, 20_000));
  */
 export const Report = {
-  formatDurations,
   text(history: History, durationMs: number): string {
     const seconds = durationMs / 1000;
     const lines: string[] = [];
--- a/src/tools/scale/controlGroupExperiments.ts
+++ b/src/tools/scale/controlGroupExperiments.ts
@@ -87,20 +87,4 @@
     },
     measure: measureIdle,
   } as Experiment,
-  /** Measures concurrent changes, each of which expects the configuration version that the one before it leaves. */
-  async burst(
-    count: number,
-    routes: number,
-    seed: number,
-  ): Promise<{ acceptedCount: number; lastMs: number; processorMs: number }> {
-    const group = new SimulatedControlGroup(3, seed);
-    await group.boot();
-    const cpuBefore = CpuTime.now();
-    const { acceptedCount, latenciesMs } = await group.propose(
-      Array.from({ length: count }, (_none, version) => configurationChange(routes, version)),
-      10_000,
-    );
-    group.end();
-    return { acceptedCount, lastMs: Math.max(0, ...latenciesMs), processorMs: CpuTime.msSince(cpuBefore) / count };
-  },
 };
--- a/src/tools/scale/lightweightMember.ts
+++ b/src/tools/scale/lightweightMember.ts
@@ -69,16 +69,6 @@
   endpointCount(): number {
     return this.node.gossip.live("replica/").length;
   }
-  /** Starts members one after the other, each in the scope of its environment. */
-  static *startAll(envs: Environment[], settings: LightweightMemberSettings[]): Task<LightweightMember[]> {
-    const members: LightweightMember[] = [];
-    for (const [index, env] of envs.entries()) {
-      const started = yield* LightweightMember.start(env, settings[index]);
-      if (!started.ok) throw new Error(`lightweight member ${settings[index].address}: ${started.fault.detail}`);
-      members.push(started.value);
-    }
-    return members;
-  }
   /** Stops the member immediately, without leaving the cluster. */
   end(): void {
     this.node.env.scope.stop();
--- a/src/tools/scale/membershipExperiments.ts
+++ b/src/tools/scale/membershipExperiments.ts
@@ -72,6 +72,4 @@
     metrics: METRICS,
     measure: (size: number, seed: number) => measure(30, size, seed),
   } as Experiment,
-  /** Measures one size and also returns false suspicions and unknown endpoints, to which no line is fitted. */
-  measureOneSize: measure,
 };
