Reset, at a stop, responses that only the end of their connection ends and that are not sent to their end

What callers could see: a process that ends while a body without length or chunks still waits to be sent to a slow caller closed the connection in order, after a part of the body.

Cause: the end of an HttpServer closed all connections in the ordinary way, first those with an ended response (http.Server.close takes a connection for idle once its response was ended, sent or not), then the others.

Change: HttpServer knows the responses that it frames by the end of the connection until they are sent, and resets their connections before it closes the others. exchange.abort() uses the same function.

--- a/src/runtime/httpServer.ts
+++ b/src/runtime/httpServer.ts
@@ -63,6 +63,8 @@
 export class HttpServer {
   private readonly server: http.Server;
   private readonly connections = new WeakMap<net.Socket, Connection>();
+  /** Responses not sent to their end whose body only the end of the connection ends. */
+  private readonly connectionFramed = new Set<http.ServerResponse>();
   private appliedLimits: HttpLimits | undefined;
   /** The value of the Keep-Alive header; empty if connections are not kept. */
   private keepAliveHeader = "";
@@ -97,6 +99,7 @@
     });
     if (failed) return Fault.fail("internal", "serve http", address, failed.message);
     this.scope.onStop(() => {
+      for (const response of this.connectionFramed) resetConnection(response);
       server.close();
       server.closeAllConnections();
     });
@@ -166,6 +169,7 @@
       if (!response.writableFinished) exchange.onDisconnect?.();
     };
     response.on("close", () => {
+      this.connectionFramed.delete(response);
       connection.pendingCount -= 1;
       connection.idleSince = performance.now();
       onEnd();
@@ -193,6 +197,7 @@
     const queryStart = target.indexOf("?");
     const writeHead = (status: number, headers: Record<string, string>): void => {
       if (this.isStopping) response.shouldKeepAlive = false;
+      if (endsWithConnection) this.connectionFramed.add(response);
       const isKept = response.shouldKeepAlive && headers.connection === undefined && this.keepAliveHeader !== "";
       response.writeHead(status, isKept ? { ...headers, "keep-alive": this.keepAliveHeader } : headers);
     };
@@ -236,14 +241,19 @@
       write: (chunk) => void (response.destroyed || response.write(chunk)),
       end: () => void (response.destroyed || response.end()),
       abort() {
-        // An ordinary close would look like the end of a body that only the end of the connection ends.
-        if (endsWithConnection) request.socket.resetAndDestroy();
-        response.destroy();
+        if (endsWithConnection) resetConnection(response);
+        else response.destroy();
       },
     };
   }
 }
 
+/** Closes a connection whose ordinary end would look like the end of the body. */
+function resetConnection(response: http.ServerResponse): void {
+  response.socket?.resetAndDestroy();
+  response.destroy();
+}
+
 /**
  * Reads a body. Up to `bodyDrainBytes` beyond the limit are read and discarded, so that the sender of a longer body
  * receives the response that rejects it.
--- a/test/stopping.test.ts
+++ b/test/stopping.test.ts
@@ -1,8 +1,11 @@
 import * as fs from "fs";
+import * as net from "net";
 import * as os from "os";
 import * as path from "path";
 import { Csp } from "../src/runtime/csp";
 import { EnvironmentTools, HttpExchange } from "../src/runtime/env";
+import { ConnectionEnds } from "../src/runtime/connectionEnd";
+import { SocketTestBed } from "./rawSockets";
 import { TaskRunner } from "./taskRunner";
 
 test("a process that stops serving refuses new connections, and still sends complete responses to requests in flight", async () => {
@@ -68,3 +71,22 @@
   fs.rmSync(folder, { recursive: true, force: true });
   expect(outcome).toEqual([[], false]);
 });
+test("a process that stops resets a response that only the end of its connection ends and that was not sent to its end", async () => {
+  // Guards against a body that was cut by a stop and looks complete to its caller (users' rule MIXED).
+  const bed = new SocketTestBed();
+  const body = Buffer.alloc(50_000_000, "x");
+  const port = await bed.serve(function* (exchange) {
+    exchange.sendUntilClose(200, {}, body);
+  });
+  let receivedBytes = 0;
+  const socket = net.connect(port, "127.0.0.1", () => void socket.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n"));
+  ConnectionEnds.observe(socket);
+  socket.on("error", () => undefined);
+  const closed = new Promise((done) => socket.once("close", done));
+  await new Promise<void>((done) => socket.once("readable", done));
+  bed.close();
+  socket.on("data", (chunk: Buffer) => (receivedBytes += chunk.length));
+  await closed;
+  expect(receivedBytes).toBeLessThan(body.length);
+  expect(ConnectionEnds.of(socket)).toBe("reset");
+});
