Send responses to their end at a graceful stop, also to callers that read slowly

What callers could see: at SIGTERM a response whose handler had ended it, but of which a part still waited for its caller to read, was cut; with a length as a broken answer (LOST, planned work), without one in a way that looks complete (MIXED).

Cause: the server took "ended" for "sent". http.Server.close and closeIdleConnections of Node.js close each connection whose request was read and whose response is marked as ended; and the ingress waited for its handlers only before it left.

Change: HttpServer stops listening without that close, and closes idle connections once no ended response waits to be sent. An ingress also waits for unsent responses, within the same grace time.

Why this works: a response leaves the set of unsent ones at its event "close", which comes once the system has taken its last byte.

--- a/src/ingress/ingressNode.ts
+++ b/src/ingress/ingressNode.ts
@@ -175,6 +175,11 @@
     this.readiness.warmedUp = true;
   }
 
+  /** Whether a request is handled, or the end of its response has not reached the caller's connection yet. */
+  private hasUnfinishedRequests(): boolean {
+    return this.inFlight > 0 || this.env.unsentResponses() > 0;
+  }
+
   /** Shuts down gracefully: reports unready, stops listening, and waits for requests in flight, up to the grace time. */
   *stop(): Task<void> {
     this.env.log(1002);
@@ -185,7 +190,7 @@
     yield* EnvironmentTools.sleep(this.env, Constants.shutdownListenMs);
     // From here on callers find no listener and go elsewhere, so the end of the process interrupts no request.
     this.env.stopServing();
-    while (this.env.monotonicMs() < startedAt + Constants.shutdownGraceMs && this.inFlight > 0)
+    while (this.env.monotonicMs() < startedAt + Constants.shutdownGraceMs && this.hasUnfinishedRequests())
       yield* EnvironmentTools.sleep(this.env, DRAIN_POLL_MS);
     yield* EnvironmentTools.sleep(this.env, Constants.ledgerFlushMs + LAST_NOTES_MS);
     yield* this.link.leaveCluster();
--- a/src/runtime/environment.ts
+++ b/src/runtime/environment.ts
@@ -48,6 +48,8 @@
   ): Task<Result<true>>;
   /** Stops accepting HTTP connections and closes idle ones; the others are closed after their next response. */
   stopServing(): void;
+  /** Returns the number of HTTP responses that have been ended and not yet been sent to their end. */
+  unsentResponses(): number;
   /** Sends an HTTP request. Faults: "refused" if nothing was sent, "timeout" and "broken" if it may have arrived. */
   httpRequest(address: string, request: HttpRequest): Task<Result<HttpResponse>>;
   /** Marks a numbered fault point, at which the simulator may kill the process. Does nothing in production. */
--- a/src/runtime/httpServer.ts
+++ b/src/runtime/httpServer.ts
@@ -65,10 +65,14 @@
   private readonly connections = new WeakMap<net.Socket, Connection>();
   /** Responses not sent to their end whose body only the end of the connection ends. */
   private readonly connectionFramed = new Set<http.ServerResponse>();
+  /** Responses that have been ended, and of which a part still waits for the caller to read. */
+  private readonly unsent = new Set<http.ServerResponse>();
   private appliedLimits: HttpLimits | undefined;
   /** The value of the Keep-Alive header; empty if connections are not kept. */
   private keepAliveHeader = "";
   private isStopping = false;
+  /** Whether idle connections are to be closed once no response is unsent. */
+  private closesIdleOnceSent = false;
   constructor(
     private readonly scope: Scope,
     private readonly handler: Handler,
@@ -105,11 +109,21 @@
     });
     return Fault.ok(true as const);
   }
+  /** The number of responses that have been ended, and of which a part still waits for the caller to read. */
+  get unsentCount(): number {
+    return this.unsent.size;
+  }
   /** Stops accepting connections and closes idle ones; each further response closes its connection. */
   stopServing(): void {
     this.isStopping = true;
-    this.server.close();
-    this.server.closeIdleConnections();
+    // The method of the HTTP server would also close connections whose response has not been sent to its end.
+    NodeLibs.net().Server.prototype.close.call(this.server);
+    this.closeIdleConnections();
+  }
+  /** Closes idle connections; as Node.js counts those as idle whose response is unsent, once all responses are sent. */
+  private closeIdleConnections(): void {
+    this.closesIdleOnceSent = this.unsent.size > 0;
+    if (!this.closesIdleOnceSent) this.server.closeIdleConnections();
   }
 
   // ---------- Limits ----------
@@ -170,6 +184,8 @@
     };
     response.on("close", () => {
       this.connectionFramed.delete(response);
+      this.unsent.delete(response);
+      if (this.closesIdleOnceSent) this.closeIdleConnections();
       connection.pendingCount -= 1;
       connection.idleSince = performance.now();
       onEnd();
@@ -203,6 +219,10 @@
     };
     // HTTP/1.0 has no chunked encoding.
     let endsWithConnection = request.httpVersion === "1.0";
+    const endResponse = (body?: string | Buffer): void => {
+      this.unsent.add(response);
+      response.end(body);
+    };
     const frameByConnection = (): void => {
       endsWithConnection = true;
       response.shouldKeepAlive = false;
@@ -224,13 +244,13 @@
         if (status === 413 || status === 431) response.shouldKeepAlive = false;
         const isBodyless = request.method === "HEAD" || status === 204 || status === 304;
         writeHead(status, isBodyless ? headers : { ...headers, "content-length": String(Buffer.byteLength(body)) });
-        response.end(body);
+        endResponse(body);
       },
       sendUntilClose(status, headers, body) {
         if (response.headersSent || response.destroyed) return;
         frameByConnection();
         writeHead(status, headers);
-        response.end(body);
+        endResponse(body);
       },
       startStream(status, headers, framing = "chunked") {
         if (response.headersSent || response.destroyed) return;
@@ -239,7 +259,7 @@
         response.flushHeaders();
       },
       write: (chunk) => void (response.destroyed || response.write(chunk)),
-      end: () => void (response.destroyed || response.end()),
+      end: () => void (response.destroyed || endResponse()),
       abort() {
         if (endsWithConnection) resetConnection(response);
         else response.destroy();
--- a/src/runtime/nodeEnvironment.ts
+++ b/src/runtime/nodeEnvironment.ts
@@ -148,6 +148,7 @@
         return yield* server.listen(address);
       },
       stopServing: () => servers.forEach((server) => server.stopServing()),
+      unsentResponses: () => servers.reduce((sum, server) => sum + server.unsentCount, 0),
       httpRequest: HttpClient.request,
       faultPoint: () => undefined,
       log,
--- a/src/simulation/simEnvironment.ts
+++ b/src/simulation/simEnvironment.ts
@@ -75,6 +75,7 @@
           : Fault.fail("internal", "serve http", address, "address in use");
       },
       stopServing: () => host.http.stopServing(process),
+      unsentResponses: () => 0,
       httpRequest: (address, outgoing) => host.http.request(process, address, outgoing),
       faultPoint: (number, context) => host.reachFaultPoint(process, number, context),
       log: (event, fields) => this.log(process, event, fields),
--- a/test/stopping.test.ts
+++ b/test/stopping.test.ts
@@ -71,22 +71,50 @@
   fs.rmSync(folder, { recursive: true, force: true });
   expect(outcome).toEqual([[], false]);
 });
-test("a process that stops resets a response that only the end of its connection ends and that was not sent to its end", async () => {
-  // Guards against a body that was cut by a stop and looks complete to its caller (users' rule MIXED).
-  const bed = new SocketTestBed();
-  const body = Buffer.alloc(50_000_000, "x");
-  const port = await bed.serve(function* (exchange) {
-    exchange.sendUntilClose(200, {}, body);
-  });
-  let receivedBytes = 0;
+/** More than the buffers between two processes hold. */
+const LARGE_BODY = Buffer.alloc(50_000_000, "x");
+
+/** A caller that has received the head of a response and reads no further. */
+async function slowCaller(port: number): Promise<{ socket: net.Socket; readToEnd: () => Promise<number> }> {
   const socket = net.connect(port, "127.0.0.1", () => void socket.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n"));
   ConnectionEnds.observe(socket);
   socket.on("error", () => undefined);
   const closed = new Promise((done) => socket.once("close", done));
   await new Promise<void>((done) => socket.once("readable", done));
+  const readToEnd = async (): Promise<number> => {
+    let receivedBytes = 0;
+    socket.on("data", (chunk: Buffer) => (receivedBytes += chunk.length));
+    await closed;
+    return receivedBytes;
+  };
+  return { socket, readToEnd };
+}
+test("a process that stops resets a response that only the end of its connection ends and that was not sent to its end", async () => {
+  // Guards against a body that was cut by a stop and looks complete to its caller (users' rule MIXED).
+  const bed = new SocketTestBed();
+  const port = await bed.serve(function* (exchange) {
+    exchange.sendUntilClose(200, {}, LARGE_BODY);
+  });
+  const caller = await slowCaller(port);
   bed.close();
-  socket.on("data", (chunk: Buffer) => (receivedBytes += chunk.length));
-  await closed;
-  expect(receivedBytes).toBeLessThan(body.length);
-  expect(ConnectionEnds.of(socket)).toBe("reset");
+  expect(await caller.readToEnd()).toBeLessThan(LARGE_BODY.length);
+  expect(ConnectionEnds.of(caller.socket)).toBe("reset");
 });
+test.each(["send", "sendUntilClose"] as const)(
+  "a process that stops serving sends a response of %s to its end, also to a caller that reads slowly",
+  async (method) => {
+    // Guards against a stop that takes a connection for idle whose response was not sent to its end (users' rules LOST, MIXED).
+    const bed = new SocketTestBed();
+    const port = await bed.serve(function* (exchange) {
+      exchange[method](200, {}, LARGE_BODY);
+    });
+    const caller = await slowCaller(port);
+    bed.env.stopServing();
+    expect(bed.env.unsentResponses()).toBe(1);
+    expect(await caller.readToEnd()).toBeGreaterThan(LARGE_BODY.length);
+    expect(bed.env.unsentResponses()).toBe(0);
+    expect(ConnectionEnds.of(caller.socket)).toBe("closed");
+    bed.close();
+    expect(bed.errors).toEqual([]);
+  },
+);
