--- a/test/golden/rareEventRun.ts
+++ b/test/golden/rareEventRun.ts
@@ -1,9 +1,12 @@
+import { CutResponses } from "../../src/forwarding/cutResponses";
+import { SimDisk } from "../../src/simulation/simDisk";
+import { SimWorld } from "../../src/simulation/simWorld";
 import { goldenConfiguration } from "./configuration";
 import { GoldenFleet } from "./goldenFleet";
 import type { DataFolders } from "./dataFolderRun";
 
 /** Numbers of the log events that the operators' documentation mentions and that the message run does not log. */
-export const rareEventNumbers = ["1006", "1309", "1408", "1410", "1501"];
+export const rareEventNumbers = ["1006", "1205", "1309", "1408", "1410", "1501"];
 /** Virtual time at which the recorded folders are opened. It is later than all times in them. */
 const OPENED_AFTER_MS = 15_000;
 /** A snapshot that is not needed, because the logs next to it are complete. */
@@ -53,8 +56,17 @@
   return golden.logLines;
 }
 
+/** Reports the response of an endpoint that was reset. */
+function reportCutResponse(): string[] {
+  const lines: string[] = [];
+  const world = new SimWorld(43, (line) => lines.push(line));
+  const { env } = world.start("ingress-1", new SimDisk(world));
+  CutResponses.of(env).record({ endpointId: "r1", framing: "connection", cause: "reset", receivedBytes: 300 });
+  return lines;
+}
+
 /** Returns the log lines of the rare events, from runs that produce them. */
 export async function recordRareEvents(folders: DataFolders): Promise<string[]> {
-  const lines = [...(await runWithTooFewVoters()), ...(await runOnDamagedFolders(folders))];
+  const lines = [...(await runWithTooFewVoters()), ...(await runOnDamagedFolders(folders)), ...reportCutResponse()];
   return lines.filter((line) => rareEventNumbers.some((event) => line.includes(` PB${event} `)));
 }
