Fleet test: take ports below those of outgoing connections

Its ports began at 20,000 + pid % 20,000; that run's workers had the pids 13532 to 13538, so its ports lay at 33,532 and up, where the system gives ports to outgoing connections (32768 to 60999). Which process failed to listen was not seen: the test removes its folder.

Change: the ports lie between 20,000 and 32,000 and a few more. No assertion or bound changes.

--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -10,13 +10,17 @@
 import { History } from "../src/tools/history";
 import { TaskRunner } from "./taskRunner";
 
+/** The ports of a run lie below 32768, where the ports of outgoing connections begin. */
+const FIRST_PORT = 20_000;
+const PORT_RANGE = 12_000;
+
 // Runs separate processes on real sockets and files. Every wait is for a condition, so the result does not depend on speed.
 test("processes discover each other, accept a configuration, serve lookups, streams and batch jobs, and survive the kill of a storage node", async () => {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), "petrelbeam-"));
   const parsed = Deployment.check(JSON.parse(fs.readFileSync(path.join(__dirname, "../../deploy/small.json"), "utf8")));
   if (!parsed.ok) throw new Error(JSON.stringify(parsed.fault));
   const deployment = parsed.value;
-  const plan = Deployment.plan(deployment, 20_000 + (process.pid % 20_000), folder);
+  const plan = Deployment.plan(deployment, FIRST_PORT + (process.pid % PORT_RANGE), folder);
   let fleet: Fleet | undefined;
   try {
     await TaskRunner.run(function* (env) {
