Log and count, at every node, which configuration was announced and when it was put in force

Change: PB1601 at every program, with announcedMs; PB1604 when a fetch fails; PB1306 with index, term and afterMs; metrics frame_index, manifest_version, announced_index and behind_ms at every node, oldest_index at control nodes. No line a request.

--- a/src/agent/agentNode.ts
+++ b/src/agent/agentNode.ts
@@ -42,7 +42,7 @@
         members: agent.node.membership.alive().length,
         replicas: agent.node.snapshot().endpoints.length,
         feeds: agent.feedCount,
-        frame_index: agent.node.gossip.snapshot?.index ?? 0,
+        ...agent.node.configurationMetrics(),
         probes: agent.node.membership.probeCount,
         dropped_datagrams: agent.node.membership.droppedDatagramCount,
       }),
--- a/src/common/logEvents.ts
+++ b/src/common/logEvents.ts
@@ -158,6 +158,11 @@
     text: "configuration confirmed by the control leader since the start or the last freeze",
     operatorAction: "none; if it is missing, the machine reaches no control group with a majority",
   },
+  1604: {
+    level: "warn",
+    text: "newer control snapshot could not be fetched",
+    operatorAction: "none, unless behindMs grows: check the machine named in from, and the link to it",
+  },
   1701: {
     level: "info",
     text: "batch item abandoned",
--- a/src/control/changeProposals.ts
+++ b/src/control/changeProposals.ts
@@ -36,8 +36,9 @@
         "the control group has not all its voters yet",
         Constants.retryAfterMs,
       );
+    const proposedAt = this.env.monotonicMs();
     const outcome = known ? Fault.ok(known) : yield* this.group.propose(command, Constants.proposeTimeoutMs);
-    if (outcome.ok) return this.toResponse(command, outcome.value);
+    if (outcome.ok) return this.toResponse(command, outcome.value, proposedAt);
     // A replaced log entry is no rejection: the same order may be in the log under another index.
     if (outcome.fault.tag === "conflict")
       return Fault.fail("unknown", "change", this.node.self.id, outcome.fault.detail);
@@ -49,11 +50,18 @@
     return command.tag === "drain" || command.tag === "undrain" ? { ...command, at: this.env.wallClockMs() } : command;
   }
 
-  private toResponse(command: Command, outcome: Outcome): Result<AcceptedChange> {
+  /** Logs an accepted change with the log index up to which the control snapshot contains it. */
+  private logAccepted({ tag }: Command, version: number, proposedAt: number): void {
+    const { term } = this.group.inspect();
+    const index = this.group.state.frameIndex ?? this.group.lastApplied;
+    this.env.log(1306, { tag, version, index, term, afterMs: Math.round(this.env.monotonicMs() - proposedAt) });
+  }
+
+  private toResponse(command: Command, outcome: Outcome, proposedAt: number): Result<AcceptedChange> {
     const { id } = this.node.self;
     switch (outcome.tag) {
       case "done":
-        this.env.log(1306, { tag: command.tag, version: outcome.version });
+        this.logAccepted(command, outcome.version, proposedAt);
         return Fault.ok({ version: outcome.version });
       case "conflict":
         return Fault.fail("conflict", "change", id, `current version is ${outcome.version}`);
--- a/src/control/controlNode.ts
+++ b/src/control/controlNode.ts
@@ -180,11 +180,21 @@
     };
   }
 
+  /** Returns the lowest index of a control snapshot that an active member, or this one, was last known to have. */
+  private oldestIndex(): number {
+    const { gossip, membership } = this.node;
+    const addresses = membership.alive().map((member) => member.address);
+    const ownIndex = gossip.snapshot?.index ?? 0;
+    return Math.min(ownIndex, gossip.announcements.lowestIndex(addresses) ?? ownIndex);
+  }
+
   /** Returns the values of `/metrics` by name. */
   metrics(): Record<string, number> {
     return {
       is_lead: this.group.hasLeaderLease() ? 1 : 0,
       applied_index: this.group.lastApplied,
+      ...this.node.configurationMetrics(),
+      oldest_index: this.oldestIndex(),
       elections: this.group.electionsStarted,
       voters: this.group.voters().length,
       views_changed: this.shardPlacement.viewsChanged,
--- a/src/ingress/agentLink.ts
+++ b/src/ingress/agentLink.ts
@@ -17,6 +17,8 @@
   isStale(): boolean;
   /** Whether the control leader has confirmed the configuration since the start and since the last process freeze. */
   isConfirmed(): boolean;
+  /** Values of `/metrics` that tell which configuration the agent has, by name; none if it is another process. */
+  configurationMetrics(): Record<string, number>;
   /** Starts to receive snapshots; `onChange` is called after each change of the snapshot. */
   start(onChange: () => void): void;
   /** Invalidates what the process knew before it was frozen; called when it runs again. */
--- a/src/ingress/inProcessAgent.ts
+++ b/src/ingress/inProcessAgent.ts
@@ -32,17 +32,14 @@
     return this.node.confirmation.isConfirmed();
   }
 
+  configurationMetrics(): Record<string, number> {
+    return this.node.configurationMetrics();
+  }
+
   start(onChange: () => void): void {
     const { node } = this;
-    let lastLoggedIndex = -1;
-    const handleChange = (): void => {
-      onChange();
-      const index = node.gossip.snapshot?.index ?? -1;
-      if (index > lastLoggedIndex) node.env.log(1601, { index, manifest: node.gossip.snapshot?.manifest.version });
-      lastLoggedIndex = Math.max(lastLoggedIndex, index);
-    };
-    node.gossip.onChange(handleChange);
-    node.membership.onChange(handleChange);
+    node.gossip.onChange(onChange);
+    node.membership.onChange(onChange);
   }
 
   processResumed(): void {
--- a/src/ingress/ingressNode.ts
+++ b/src/ingress/ingressNode.ts
@@ -121,6 +121,7 @@
       in_flight: this.inFlight,
       frame_index: snapshot.control?.index ?? 0,
       manifest_version: snapshot.control?.manifest.version ?? 0,
+      ...this.link.configurationMetrics(),
       replicas: snapshot.endpoints.length,
       affinity_hits: this.endpointSelector.affinityHits,
       affinity_misses: this.endpointSelector.affinityMisses,
--- a/src/ingress/remoteAgent.ts
+++ b/src/ingress/remoteAgent.ts
@@ -64,6 +64,10 @@
     return this.confirmation.isConfirmed();
   }
 
+  configurationMetrics(): Record<string, number> {
+    return {};
+  }
+
   start(onChange: () => void): void {
     this.confirmation.start();
     EnvironmentTools.runSupervised(this.env, this.env.scope, "feed", () => this.feedLoop(onChange));
--- a/src/membership/antiEntropy.ts
+++ b/src/membership/antiEntropy.ts
@@ -71,6 +71,7 @@
   private *onDigest(digest: Digest, sender: string): Task<Result<DigestResponse>> {
     this.lastExchangeAt = this.env.monotonicMs();
     const address = this.membership.find(sender)?.address;
+    if (address) this.transfer.announcements.record(address, digest.frameIndex, this.transfer.index);
     if (address && digest.frameIndex > this.transfer.index) {
       const { transfer } = this;
       Csp.go(this.env.scope, "fetch control snapshot", () => transfer.fetchIfNewer(address, digest.frameIndex));
--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -8,7 +8,9 @@
 import { FactStore, GossipFact } from "./factStore";
 import { ConfigurationStep, Push } from "./gossipMessages";
 import { GossipPeers } from "./gossipPeers";
+import { isActive } from "./member";
 import { Membership } from "./membership";
+import { SnapshotAnnouncements } from "./snapshotAnnouncements";
 import { SnapshotTransfer } from "./snapshotTransfer";
 
 /** The pause between digests varies by 20% in both directions, so that members do not send them in lockstep. */
@@ -55,6 +57,9 @@
     });
     this.antiEntropy = new AntiEntropy(env, rpc, membership, this.facts, this.transfer);
     this.peers = new GossipPeers(env, membership);
+    membership.onChange((changed) => {
+      if (changed && !isActive(changed)) this.announcements.forget(changed.address);
+    });
   }
 
   /** The newest control snapshot known here. */
@@ -138,6 +143,11 @@
     return this.facts.ageMs(key);
   }
 
+  /** The control snapshots that other members have announced. */
+  get announcements(): SnapshotAnnouncements {
+    return this.transfer.announcements;
+  }
+
   /** Replaces the control snapshot by a newer one; returns false if it is not newer. */
   offerSnapshot(snapshot: ControlSnapshot, steps?: ConfigurationStep[]): boolean {
     return this.transfer.offer(snapshot, steps);
--- a/src/membership/snapshotTransfer.ts
+++ b/src/membership/snapshotTransfer.ts
@@ -7,6 +7,7 @@
 import { Environment } from "../runtime/env";
 import { Task } from "../runtime/csp";
 import { ConfigurationStep, SnapshotRequest, SnapshotResponse } from "./gossipMessages";
+import { SnapshotAnnouncements } from "./snapshotAnnouncements";
 
 type VersionedConfiguration = ControlSnapshot["manifest"];
 
@@ -19,6 +20,7 @@
   /** The latest changes of the configuration, oldest first; each starts at the version at which the one before ends. */
   private steps: ConfigurationStep[] = [];
   private isFetching = false;
+  readonly announcements: SnapshotAnnouncements;
   private current: ControlSnapshot | undefined;
 
   /** @param onReplaced called after a newer snapshot has replaced the current one */
@@ -26,7 +28,9 @@
     private readonly env: Environment,
     private readonly rpc: Rpc,
     private readonly onReplaced: () => void,
-  ) {}
+  ) {
+    this.announcements = new SnapshotAnnouncements(env);
+  }
 
   get snapshot(): ControlSnapshot | undefined {
     return this.current;
@@ -46,6 +50,8 @@
     if (known && !SnapshotTransfer.isNewer(snapshot, known)) return false;
     this.rememberSteps(known, snapshot, steps);
     this.current = snapshot;
+    const announcedMs = Math.round(this.announcements.adopted(snapshot.index));
+    this.env.log(1601, { index: snapshot.index, manifest: snapshot.manifest.version, announcedMs });
     this.env.faultPoint(21);
     this.onReplaced();
     return true;
@@ -53,6 +59,7 @@
 
   /** Fetches a member's snapshot if its index is higher and no other fetch is in progress. */
   *fetchIfNewer(address: string, index: number): Task<void> {
+    this.announcements.record(address, index, this.index);
     if (index <= this.index || this.isFetching) return;
     this.isFetching = true;
     try {
@@ -63,6 +70,7 @@
         manifest: known?.manifest.version ?? -1,
       };
       const fetched = yield* this.rpc.call(address, "frame.fetch", request, Constants.snapshotFetchTimeoutMs);
+      if (!fetched.ok) this.logFailedFetch(address, index, fetched.fault);
       if (!fetched.ok || !fetched.value) return;
       const { steps, ...snapshot } = fetched.value;
       const configuration = snapshot.manifest ?? SnapshotTransfer.configurationAfter(known?.manifest, steps);
@@ -72,6 +80,11 @@
     }
   }
 
+  private logFailedFetch(address: string, index: number, fault: Fault): void {
+    const behindMs = Math.round(this.announcements.behindMs());
+    this.env.log(1604, { from: address, index, own: this.index, behindMs, fault: fault.tag });
+  }
+
   /** Handles "frame.fetch". */
   *onFetch(request: SnapshotRequest): Task<Result<SnapshotResponse | null>> {
     const snapshot = this.current;
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -162,6 +162,17 @@
     return this.snapshots.get();
   }
 
+  /** Returns the values of `/metrics` that tell which configuration is in force here, by name. */
+  configurationMetrics(): Record<string, number> {
+    const { announcements, snapshot } = this.gossip;
+    return {
+      frame_index: snapshot?.index ?? 0,
+      manifest_version: snapshot?.manifest.version ?? 0,
+      announced_index: announcements.highestIndex,
+      behind_ms: Math.round(announcements.behindMs()),
+    };
+  }
+
   private watch(): void {
     this.membership.onChange((changed) => {
       this.snapshots.invalidate();
--- a/src/storage/storageNode.ts
+++ b/src/storage/storageNode.ts
@@ -177,6 +177,7 @@
     const sum = (valueOf: (replica: ShardReplica) => number): number =>
       replicas.reduce((total, replica) => total + valueOf(replica), 0);
     return {
+      ...this.node.configurationMetrics(),
       copies: replicas.length,
       leads: replicas.filter((replica) => replica.role === "lead").length,
       puts: sum((replica) => replica.counts.puts),
