--- a/test/batchJobFleet.ts
+++ b/test/batchJobFleet.ts
@@ -145,7 +145,7 @@
   get node(): Node {
     return this.nodes[0];
   }
-  async startEndpoint(id: string): Promise<void> {
+  async startEndpoint(id: string, pool = "model"): Promise<void> {
     const address = `127.0.0.1:${900 + +id.slice(1)}`;
     const process = this.world.start(`replica-${id}`, new SimDisk(this.world));
     const endpoint = new StandInEventEndpoint(process.env, address, `${id}-1`, {
@@ -161,7 +161,7 @@
         yield* NodeContext.of(fleet.node).announce({
           id,
           address,
-          pool: "model",
+          pool,
           district: "north",
           version: "v1",
           capacity: fleet.size.slots,
