--- a/src/membership/antiEntropy.ts
+++ b/src/membership/antiEntropy.ts
@@ -9,6 +9,14 @@
 import { Membership } from "./membership";
 import { SnapshotTransfer } from "./snapshotTransfer";
 
+/** An exchange of digests that told of a control snapshot newer than the one known here. */
+interface AheadExchange {
+  /** Start of the exchange, monotonic ms. */
+  readonly at: number;
+  /** Log index of that snapshot. */
+  readonly index: number;
+}
+
 /**
  * Anti-entropy (Demers et al., "Epidemic algorithms for replicated database maintenance", 1987) repairs the losses of
  * pushes: two members compare digests, and each gets the facts, members and control snapshot that it lacks. One total
@@ -16,8 +24,10 @@
  * compared.
  */
 export class AntiEntropy {
-  /** Time of the last exchange of digests, initiated by either side, monotonic ms. */
-  lastExchangeAt = -Infinity;
+  /** Time of the last exchange that told of no snapshot newer than the one known here, monotonic ms. */
+  private lastCurrentAt = -Infinity;
+  /** Recent exchanges that told of a newer snapshot, which may have been fetched since. */
+  private ahead: AheadExchange[] = [];
 
   constructor(
     private readonly env: Environment,
@@ -53,10 +63,28 @@
     for (const renewal of renewed) this.facts.applyRenewal(renewal);
     if (memberSums) yield* this.repairMembers(address, memberSums);
     if (sums) yield* this.repairFacts(address, sums);
-    this.lastExchangeAt = startedAt;
+    this.recordExchange(startedAt, frameIndex);
     return true;
   }
 
+  /**
+   * Time of the last exchange of digests, initiated by either side, monotonic ms. An exchange counts once this member has
+   * a control snapshot at least as new as the one that it told of.
+   */
+  get lastExchangeAt(): number {
+    const { index } = this.transfer;
+    for (const exchange of this.ahead)
+      if (exchange.index <= index) this.lastCurrentAt = Math.max(this.lastCurrentAt, exchange.at);
+    this.ahead = this.ahead.filter((exchange) => exchange.index > index);
+    return this.lastCurrentAt;
+  }
+
+  private recordExchange(at: number, index: number): void {
+    const oldest = this.env.monotonicMs() - Constants.contactTimeoutMs;
+    this.ahead = this.ahead.filter((exchange) => exchange.at > oldest);
+    this.ahead.push({ at, index });
+  }
+
   private digest(): Digest {
     return {
       sum: totalChecksum(this.facts.bucketChecksums),
@@ -68,7 +96,7 @@
   }
 
   private *onDigest(digest: Digest, sender: string): Task<Result<DigestResponse>> {
-    this.lastExchangeAt = this.env.monotonicMs();
+    this.recordExchange(this.env.monotonicMs(), digest.frameIndex);
     const address = this.membership.find(sender)?.address;
     if (address) this.transfer.announced(address, digest.frameIndex);
     const { bucketChecksums } = this.facts;
--- a/test/silentMembers.test.ts
+++ b/test/silentMembers.test.ts
@@ -1,3 +1,6 @@
+import { Constants } from "../src/common/constants";
+import { Fault } from "../src/common/fault";
+import { EnvironmentTools } from "../src/runtime/env";
 import { ControlFleet } from "./controlFleet";
 import { seedsFrom } from "./seeds";
 
@@ -92,3 +95,26 @@
     },
   );
 });
+
+describe("a node that was told of a newer configuration", () => {
+  // Guards against a node that cannot fetch the configuration it was told of, and serves the older one as current.
+  test("serves the older one no longer than it would without contact, while no member lets it fetch the newer one", async () => {
+    const fleet = new ControlFleet(1, { controls: 3, ingresses: 1 });
+    const isInForce = (version: number) => (): boolean =>
+      serves(fleet, "ingress-1") && versionAt(fleet, "ingress-1") === version;
+    expect(await fleet.until(async () => (await put(fleet, 1)) === 200, 15_000)).toBeDefined();
+    expect(await fleet.until(isInForce(1), 15_000)).toBeDefined();
+    const transfers = fleet.names("control").map((name) => fleet.control(name)!.node.rpc);
+    const { env } = fleet.operator;
+    for (const rpc of transfers)
+      rpc.handle("frame.fetch", function* () {
+        yield* EnvironmentTools.sleep(env, Infinity);
+        return Fault.ok(null);
+      });
+    expect(await put(fleet, 2)).toBe(200);
+    await fleet.run(CONFIGURATION_APPLY_MS);
+    expect(isInForce(1)()).toBe(false);
+    expect(fleet.ingress("ingress-1")!.metrics().behind_ms).toBeGreaterThan(Constants.contactTimeoutMs);
+    fleet.close();
+  });
+});
