Let a voter that has just voted leave the candidate time to lead

What operators saw: after a restart of all control nodes the first election now and then took over 900 ms in place of some 200 ms, and no change was taken meanwhile.

Cause: after such a restart the timer of an election is short. A voter whose timer expired while its vote was being written, or whose own pre-vote ended after it had voted, started an election at the next term and so deposed the leader it had just elected; all had then heard a leader and waited for the full time-out. Only timers change.

--- a/src/consensus/election.ts
+++ b/src/consensus/election.ts
@@ -80,7 +80,10 @@
   private *startElection(): Task<void> {
     const { replica } = this;
     const afterFullRestart = replica.startedRecently && !replica.hasLeaderTimedOut();
+    const termBefore = replica.log.currentTerm;
     const votesRequested = yield* this.campaign(afterFullRestart);
+    // A voter that has voted meanwhile leaves the candidate the time to become the leader.
+    if (afterFullRestart && !votesRequested && replica.log.currentTerm !== termBefore) return;
     if (afterFullRestart) replica.resetRestartElectionTimer();
     else replica.resetElectionTimer(votesRequested ? Constants.electionTimeoutMinMs : Constants.preVoteRetryMinMs);
   }
--- a/src/consensus/voteHandler.ts
+++ b/src/consensus/voteHandler.ts
@@ -47,9 +47,10 @@
       const mayVote = log.votedFor === "" || log.votedFor === request.candidateId;
       const isGranted = mayVote && this.isUpToDate(request);
       if (isGranted && log.votedFor === "") {
+        // Before the write, since the timer may expire during it.
+        replica.resetElectionTimer();
         const saved = yield* log.saveTermAndVote(log.currentTerm, request.candidateId);
         if (!saved.ok) return saved;
-        replica.resetElectionTimer();
       }
       replica.env.faultPoint(ConsensusFaultPoint.voteDecided);
       return this.response(isGranted);
