Run items of a batch job by no older configuration than the job was accepted under

Cause: the job tells the version under which it was accepted, but the scheduler looked at it only where its own configuration had no such route; a route that had moved was taken from the older configuration. And where the route was missing while the node had lost contact, items ran by the route as it was at the 202, although the node's own newer configuration had dropped it. Class: knowledge that a message carries is not used to judge one's own state.

Change: storage/batchJobs/jobRoute tells apart a route that is configured, one that was removed, and one that this node cannot know; in the last case the items wait and digests are exchanged soon.

--- a/src/storage/batchJobs/itemScheduler.ts
+++ b/src/storage/batchJobs/itemScheduler.ts
@@ -13,8 +13,9 @@
 import { ItemEndpointChoice, SchedulingPass } from "./itemEndpointChoice";
 import { ItemAttemptOutcome, ItemExecution } from "./itemExecution";
 import { ItemResults } from "./itemResults";
-import { dueInMs, giveUpAt, routeOf } from "./jobDeadlines";
+import { dueInMs, giveUpAt } from "./jobDeadlines";
 import { JobDemand } from "./jobDemand";
+import { routeOf } from "./jobRoute";
 import { OpenJob, progressOf } from "./openJob";
 import { OpenJobs } from "./openJobs";
 
@@ -88,14 +89,24 @@
       endpoints: new Map(),
       fullPools: new Set(),
     };
-    for (const entry of schedulable) {
-      const route = routeOf(snapshot, entry.job);
-      if (!route) this.abandonWaitingItems(entry.open, "its binding was taken out of the manifest");
-      else if (this.env.wallClockMs() > giveUpAt(entry.job, route))
-        this.abandonWaitingItems(entry.open, "not done in the time that its binding gives");
-      else {
+    for (const entry of schedulable) this.scheduleJob(entry, pass, now);
+  }
+
+  private scheduleJob(entry: SchedulableJob, pass: SchedulingPass, now: number): void {
+    const jobRoute = routeOf(pass.snapshot, entry.job);
+    switch (jobRoute.tag) {
+      case "unknown":
+        return this.node.gossip.requestExchange();
+      case "removed":
+        return this.abandonWaitingItems(entry.open, "its binding was taken out of the manifest");
+      case "configured":
+        if (this.env.wallClockMs() > giveUpAt(entry.job, jobRoute.route))
+          return this.abandonWaitingItems(entry.open, "not done in the time that its binding gives");
         requeueDelayedItems(entry.open, now);
-        this.startItems(entry, route, pass);
+        return this.startItems(entry, jobRoute.route, pass);
+      default: {
+        const unreachable: never = jobRoute;
+        return unreachable;
       }
     }
   }
--- a/src/storage/batchJobs/jobDeadlines.ts
+++ b/src/storage/batchJobs/jobDeadlines.ts
@@ -1,7 +1,6 @@
 /** Deadlines of a batch job: when its results are due, and when its items are abandoned. */
 import { Constants } from "../../common/constants";
 import { Route } from "../../controlState/configuration";
-import { ClusterSnapshot } from "../../node/clusterSnapshot";
 import { BatchJob } from "../../shard/shardTypes";
 
 /** Time until all results of a job are due, ms; negative once they are late. */
@@ -16,15 +15,3 @@
   const afterMs = Math.max(route.giveUpMs ?? Infinity, job.kept.giveUpMs ?? Infinity);
   return job.stamp.time + afterMs + Constants.itemAbandonMarginMs;
 }
-
-/**
- * The route of a job as it is configured now, or undefined if the route has been removed. While this node's
- * configuration is older than the job, the result is the route as it was when the job was accepted.
- */
-export function routeOf(snapshot: ClusterSnapshot, job: BatchJob): Route | undefined {
-  const configuration = snapshot.control?.manifest;
-  const configured = configuration?.doc.bindings[job.binding];
-  if (configured) return configured;
-  const isOlderThanJob = !configuration || !snapshot.isCurrent || configuration.version < (job.since ?? 0);
-  return isOlderThanJob ? job.kept : undefined;
-}
