Ask another control node when the one that led last is silent

What operators saw: while a control leader was silent (frozen, or its machine hung), the other control nodes answered reads and changes of the configuration with 503 and 504 although a new leader had been elected; a configuration that does not come, or no acknowledgement.

Cause: each node sends a request to the leader that it knew last, waited for it for the operator's whole time, and did not forget it afterwards, so that the next request went there too.

An order to a silent node is now known not to have run.

--- a/src/node/controlClient.ts
+++ b/src/node/controlClient.ts
@@ -48,6 +48,8 @@
 export class ControlClient {
   /** Address at which the leader responded last; empty if it is not known. */
   private leaderAddress = "";
+  /** Time of that response, monotonic ms. */
+  private leaderRespondedAt = -Infinity;
   private readonly deadlines: OrderDeadlines;
 
   constructor(
@@ -77,11 +79,13 @@
         const response = yield* this.attempt<Response>(address, request, deadline);
         if (response.ok) {
           this.leaderAddress = address;
+          this.leaderRespondedAt = this.env.monotonicMs();
           return response;
         }
         last = response;
         const step = nextStep(response.fault);
         if (step.kind === "giveUp") return response;
+        if (step.kind !== "readClockAgain") this.leaderAddress = "";
         if (step.kind === "redirect") redirect = step.address;
         if (step.kind === "retry" && step.mayHaveRun) mayHaveRun = true;
         if (step.kind === "readClockAgain") {
@@ -124,14 +128,16 @@
   }
 
   private *send<Response>(address: string, request: ControlRequest, deadline: number): Task<Result<Response>> {
-    const timeoutMs = (): number => Math.min(Constants.controlRequestTimeoutMs, deadline - this.env.monotonicMs());
-    if (isRead(request)) return yield* this.call<Response>(address, request, timeoutMs());
-    const leaderDeadline = yield* this.deadlines.at(address, deadline, timeoutMs());
+    const within = (limitMs: number): number => Math.min(limitMs, deadline - this.env.monotonicMs());
+    if (this.env.monotonicMs() - this.leaderRespondedAt > Constants.leaderContactMaxAgeMs) this.deadlines.forget();
+    // A node that has not responded lately may be silent for long, so it first has to respond to a clock reading.
+    const leaderDeadline = yield* this.deadlines.at(address, deadline, within(Constants.controlSilenceMs));
     if (!leaderDeadline.ok)
       return leaderDeadline.fault.tag === "timeout"
         ? Fault.fail("refused", "control", address, "silent")
         : leaderDeadline;
-    return yield* this.call<Response>(address, { ...request, deadline: leaderDeadline.value }, timeoutMs());
+    const timed = isRead(request) ? request : { ...request, deadline: leaderDeadline.value };
+    return yield* this.call<Response>(address, timed, within(Constants.controlRequestTimeoutMs));
   }
 
   /** The type of the response depends on the request; the caller of `request` specifies it. */
