--- a/src/membership/snapshotFetcher.ts
+++ b/src/membership/snapshotFetcher.ts
@@ -67,22 +67,25 @@
   private startFetch(address: string): Chan<true> {
     const ended = Csp.chan<true>(1);
     const fetcher = this;
+    const indexBefore = this.hooks.ownIndex();
     this.pending.add(address);
     Csp.go(this.env.scope, "fetch control snapshot", function* () {
       try {
         yield* fetcher.hooks.fetch(address);
       } finally {
         ended.close();
-        fetcher.fetchEnded(address);
+        fetcher.fetchEnded(address, indexBefore);
       }
     });
     return ended;
   }
 
-  private fetchEnded(address: string): void {
-    const isBehind = (this.sources.get(address) ?? 0) > this.hooks.ownIndex();
+  /** Forgets a member that brought nothing newer; one that did may have announced a still newer snapshot meanwhile. */
+  private fetchEnded(address: string, indexBefore: number): void {
+    const ownIndex = this.hooks.ownIndex();
+    const isBehind = (this.sources.get(address) ?? 0) > ownIndex;
     this.pending.delete(address);
-    this.sources.delete(address);
+    if (ownIndex === indexBefore) this.sources.delete(address);
     if (isBehind && this.sources.size === 0) this.hooks.sourcesExhausted();
     Csp.offer(this.fetchDue, true);
   }
