Take a second peer for an exchange of digests only if the first fails

Cause: each exchange took two peers from the pass over all members and used the second only after a failure of the first, so half of the peers of each pass were skipped; signs of overload, and changes of the configuration whose push was lost, reached those later.

Change: the second peer is taken when it is needed.

--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -166,8 +166,11 @@
 
   /** Runs anti-entropy with one member, or with another if that does not respond; returns false if neither did. */
   *exchangeDigests(): Task<boolean> {
-    for (const address of this.peers.next(DIGEST_ATTEMPTS))
+    for (let attempt = 0; attempt < DIGEST_ATTEMPTS; attempt += 1) {
+      const [address] = this.peers.next(1);
+      if (!address) return false;
       if (yield* this.antiEntropy.exchangeWith(address)) return true;
+    }
     return false;
   }
 
