Simulation: trigger a rare fault point again, at another process, until it is reached

The scenario kills a store once and then waits; whether its shards have a sealed segment by then depends on the random numbers, which fall otherwise since the exchange of digests takes its second peer only after a failure.

The check that the point is reached stays as it is. The scenario now repeats what leads to the point, up to three times, each time at another store; runs that reached their point before are the same as before.

--- a/src/simulation/scenarios/processScenarios.ts
+++ b/src/simulation/scenarios/processScenarios.ts
@@ -1,5 +1,31 @@
+import { SimFleet } from "../simFleet";
 import { otherProcesses, pickRandom, faultPoints, runOperatorChanges, UnnumberedScenario } from "./scenario";
 
+/** Fault points of a rotation of the log, which happens after many puts. */
+const ROTATION_POINTS = [13, 14];
+/** Fault points of an election. */
+const ELECTION_POINTS = [31, 32, 34];
+/** Fault points of a view change or of a replica that joins. */
+const VIEW_POINTS = [17, 36, 38, 39, 40, 43, 44, 48, 49, 50];
+/** How often the events that lead to a fault point are triggered, each time at another process, until it is reached. */
+const POINT_ATTEMPTS = 3;
+/** Time to wait for a fault point after that, s. */
+const POINT_WAIT_S = 15;
+const ROTATION_WAIT_S = 240;
+
+/** Kills a process for a while, so that the rarer fault points occur. */
+async function triggerPoint(fleet: SimFleet, point: number, attempt: number): Promise<void> {
+  if (ELECTION_POINTS.includes(point)) await restartAfter(fleet, fleet.controlLeader(), 6000);
+  const stores = fleet.names("store");
+  if (VIEW_POINTS.includes(point)) await restartAfter(fleet, stores[attempt % stores.length], 5000);
+}
+
+async function restartAfter(fleet: SimFleet, name: string, downMs: number): Promise<void> {
+  fleet.kill(name);
+  await fleet.run(downMs);
+  fleet.restart(name);
+}
+
 /** Scenarios of killed, frozen, added and replaced processes, and of lost disks. */
 export const processScenarios: UnnumberedScenario[] = [
   {
@@ -19,29 +45,13 @@
         fleet.recordFault(`kill ${killedName} at point ${point}`, true);
         fleet.kill(killedName);
       });
-      // Makes the rarer fault points occur.
-      const trigger = [13, 14].includes(point)
-        ? "long"
-        : [31, 32, 34].includes(point)
-          ? "election"
-          : [17, 36, 38, 39, 40, 43, 44, 48, 49, 50].includes(point)
-            ? "views"
-            : "";
-      if (trigger === "election") {
-        const leader = fleet.controlLeader();
-        fleet.kill(leader);
-        await fleet.run(6000);
-        fleet.restart(leader);
-      }
-      if (trigger === "views") {
-        const store = fleet.names("store")[0];
-        fleet.kill(store);
-        await fleet.run(5000);
-        fleet.restart(store);
+      const hasOccurred = (): boolean => killedName !== "";
+      for (let attempt = 0; !hasOccurred() && attempt < POINT_ATTEMPTS; attempt += 1) {
+        await triggerPoint(fleet, point, attempt);
+        await runOperatorChanges(fleet);
+        const waits = ROTATION_POINTS.includes(point) ? ROTATION_WAIT_S : POINT_WAIT_S;
+        for (let waited = 0; !hasOccurred() && waited < waits; waited += 1) await fleet.run(1000);
       }
-      await runOperatorChanges(fleet);
-      for (let waited = 0; killedName === "" && waited < (trigger === "long" ? 240 : 15); waited += 1)
-        await fleet.run(1000);
       fleet.world.disarm();
       if (killedName === "") throw new Error(`point ${point} was not reached`);
       await fleet.run(5000);
