--- a/test/batchJobFleet.ts
+++ b/test/batchJobFleet.ts
@@ -145,7 +145,8 @@
   get node(): Node {
     return this.nodes[0];
   }
-  async startEndpoint(id: string, pool = "model"): Promise<void> {
+  /** Starts an endpoint; the given node gets its announcements. */
+  async startEndpoint(id: string, pool = "model", announcedTo = this.node): Promise<void> {
     const address = `127.0.0.1:${900 + +id.slice(1)}`;
     const process = this.world.start(`replica-${id}`, new SimDisk(this.world));
     const endpoint = new StandInEventEndpoint(process.env, address, `${id}-1`, {
@@ -158,7 +159,7 @@
     const fleet = this;
     Csp.go(this.caller.scope, `announce ${id}`, function* () {
       while (!fleet.withdrawnEndpoints.has(id)) {
-        yield* NodeContext.of(fleet.node).announce({
+        yield* NodeContext.of(announcedTo).announce({
           id,
           address,
           pool,
@@ -171,7 +172,7 @@
         });
         yield* EnvironmentTools.sleep(fleet.caller.env, 900);
       }
-      yield* NodeContext.of(fleet.node).withdraw(id);
+      yield* NodeContext.of(announcedTo).withdraw(id);
     });
   }
   /** Ends the announcements of an endpoint and deregisters it. */
