Start batch items only by a configuration that the control leader confirmed recently

What callers saw: items of a lot ran at the former service of a moved route, for as long as the stores with all replicas of its shard were cut off from the control group together.

Class: state used without a bound on its age, where the only evidence of its age comes from peers that share the fault.

Change: RecentConfirmation. An item starts, and a claimed item is forwarded, only within 1.5 s of a read index of the control leader that confirms the configuration. Read indexes are requested only while items wait; members answer from those that they have themselves. PB1605 tells when items wait for a second, the metric read_index_age_ms how old the confirmation is.

Items that run, streams and other live requests go on as before.

--- a/src/common/constants/node.ts
+++ b/src/common/constants/node.ts
@@ -16,6 +16,17 @@
   readIndexWaitMaxMs: 300,
   /** Period in which the leader checks for such a contact, ms. */
   readIndexCheckPeriodMs: 20,
+  /** Age of the newest read index above which a newer one is requested while batch items wait to start, ms. */
+  readIndexRefreshMs: 700,
+  /** Maximum age of the read index that is requested then, ms. */
+  readIndexRefreshMaxAgeMs: 300,
+  /**
+   * Age of the newest read index above which no batch item starts, ms. With the time to connect to an endpoint it is less
+   * than the two seconds in which a configuration must be in force.
+   */
+  recentConfirmationMs: 1500,
+  /** Time for which batch items wait for a read index after which this is logged, ms. */
+  confirmationWaitLogMs: 1000,
   /** Time after which the agent responds to its ingress even without a change, ms. */
   feedWaitMaxMs: 400,
   /** Period in which the agent checks for a newer snapshot, ms. */
--- a/src/common/logEvents.ts
+++ b/src/common/logEvents.ts
@@ -163,6 +163,11 @@
     text: "newer control snapshot could not be fetched",
     operatorAction: "none, unless behindMs grows: check the machine named in from, and the link to it",
   },
+  1605: {
+    level: "warn",
+    text: "batch items wait: the control leader has not confirmed the configuration recently",
+    operatorAction: "none, unless it lasts: check whether the control group has a leader that this machine reaches",
+  },
   1701: {
     level: "info",
     text: "batch item abandoned",
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -13,6 +13,7 @@
 import { ClusterSnapshot } from "./clusterSnapshot";
 import { ClusterSnapshotCache } from "./clusterSnapshotCache";
 import { ReadIndex, ReadIndexConfirmation } from "./readIndexConfirmation";
+import { RecentConfirmation } from "./recentConfirmation";
 
 /** Number of members to exchange digests with after a freeze; a single one may have been frozen as well. */
 const EXCHANGES_AFTER_FREEZE = 2;
@@ -48,6 +49,8 @@
   freezeCount = 0;
   /** Confirmation of the configuration by the control leader since the start or the last freeze. */
   readonly confirmation: ReadIndexConfirmation;
+  /** Whether the control leader has confirmed the configuration recently. */
+  readonly recentConfirmation: RecentConfirmation;
   /** Returns the node's own read index if it is the control leader; set by a control member. */
   readIndex: () => ReadIndex | undefined = () => undefined;
   /** Returns the address of the control leader if it is known; set by a control member. */
@@ -82,6 +85,7 @@
       configuration: () => gossip.snapshot,
       announced: (address, index) => gossip.snapshotAnnounced(address, index),
     });
+    this.recentConfirmation = new RecentConfirmation(env, this.confirmation);
     this.snapshots = new ClusterSnapshotCache(env, gossip, membership, {
       isCurrent: () => this.isCurrent(),
       isClockTrusted: () => membership.isClockTrusted(this.clockBounds().deltaMs),
@@ -170,9 +174,16 @@
       manifest_version: snapshot?.manifest.version ?? 0,
       announced_index: announcements.highestIndex,
       behind_ms: Math.round(announcements.behindMs()),
+      read_index_age_ms: this.readIndexAgeMs(),
     };
   }
 
+  /** Age of the newest read index that confirms the configuration; -1 if there is none. */
+  private readIndexAgeMs(): number {
+    const ageMs = this.recentConfirmation.ageMs();
+    return ageMs < Infinity ? Math.round(ageMs) : -1;
+  }
+
   private watch(): void {
     this.membership.onChange((changed) => {
       this.snapshots.invalidate();
@@ -182,6 +193,7 @@
     this.gossip.onChange(() => this.snapshots.invalidate());
     this.confirmation.serve();
     this.confirmation.start();
+    this.recentConfirmation.start();
     EnvironmentTools.runSupervised(this.env, this.env.scope, "clock watch", () => this.clockWatch.run());
   }
 
--- a/src/node/readIndexConfirmation.ts
+++ b/src/node/readIndexConfirmation.ts
@@ -111,20 +111,32 @@
   /** Whether the configuration is confirmed. */
   isConfirmed(): boolean {
     if (this.wasConfirmed) return true;
-    const own = this.hooks.own();
-    if (own) this.record(own);
-    const { latest } = this;
-    const configuration = this.hooks.configuration();
-    if (!latest || !configuration || latest.at <= this.requiredAfter) return false;
-    if (latest.group !== configuration.group || latest.index > configuration.index) return false;
+    if (this.confirmedAt() <= this.requiredAfter) return false;
     this.wasConfirmed = true;
     this.env.log(1603, {
-      index: configuration.index,
+      index: this.hooks.configuration()!.index,
       afterMs: Math.round(this.env.monotonicMs() - this.requiredAfter),
     });
     return true;
   }
 
+  /** The time of the newest read index, monotonic ms; -Infinity if this process has no configuration as new as that. */
+  confirmedAt(): number {
+    const own = this.hooks.own();
+    if (own) this.record(own);
+    const { latest } = this;
+    const configuration = this.hooks.configuration();
+    if (!latest || !configuration) return -Infinity;
+    return latest.group === configuration.group && latest.index <= configuration.index ? latest.at : -Infinity;
+  }
+
+  /** Requests a read index that is younger than the given age from one member; does not wait for the response. */
+  requestReadIndex(attempt: number, maxAgeMs: number): void {
+    const address = this.hooks.source(attempt);
+    if (address === undefined || this.pendingAddresses.has(address)) return;
+    Csp.go(this.env.scope, "read index request", () => this.requestFrom(address, maxAgeMs));
+  }
+
   /** Records the newest read index; ignores one of a superseded consensus group. */
   private record(readIndex: ReadIndex): void {
     const { latest } = this;
@@ -136,10 +148,7 @@
     for (;;) {
       yield* Csp.take(this.confirmationDue);
       for (let attempt = 0; !this.isConfirmed(); attempt += 1) {
-        const address = this.hooks.source(attempt);
-        const confirmation = this;
-        if (address !== undefined && !this.pendingAddresses.has(address))
-          Csp.go(this.env.scope, "read index request", () => confirmation.requestFrom(address));
+        this.requestReadIndex(attempt, this.env.monotonicMs() - this.requiredAfter);
         yield* EnvironmentTools.sleep(
           this.env,
           Constants.readIndexRetryMs * (RETRY_JITTER_LOW + RETRY_JITTER_SPREAD * this.env.random()),
@@ -148,10 +157,9 @@
     }
   }
 
-  private *requestFrom(address: string): Task<void> {
+  private *requestFrom(address: string, maxAgeMs: number): Task<void> {
     this.pendingAddresses.add(address);
     try {
-      const maxAgeMs = this.env.monotonicMs() - this.requiredAfter;
       const readIndex = yield* this.request(address, { maxAgeMs, hops: Constants.readIndexMaxHops });
       if (readIndex) this.hooks.announced(address, readIndex.index);
       this.isConfirmed();
--- a/src/storage/batchJobs/itemScheduler.ts
+++ b/src/storage/batchJobs/itemScheduler.ts
@@ -63,11 +63,10 @@
 
   private *scheduleLoop(): Task<void> {
     for (let lastSearchAt = this.env.monotonicMs(); ;) {
-      const hasWaiting = this.openJobs.all().some((open) => open.ready.length + open.delayed.length > 0);
       yield* EnvironmentTools.takeWithin(
         this.env,
         this.openJobs.changed,
-        hasWaiting ? Constants.jobSchedulingPeriodMs : IDLE_PERIOD_MS,
+        this.hasWaitingItems() ? Constants.jobSchedulingPeriodMs : IDLE_PERIOD_MS,
       );
       if (this.env.monotonicMs() - lastSearchAt > Constants.abandonedClaimSearchMs) {
         lastSearchAt = this.env.monotonicMs();
@@ -79,10 +78,15 @@
     }
   }
 
+  private hasWaitingItems(): boolean {
+    return this.openJobs.all().some((open) => open.ready.length + open.delayed.length > 0);
+  }
+
   private schedulingPass(snapshot: ClusterSnapshot): void {
     const now = this.env.monotonicMs();
     const schedulable = this.schedulableJobs();
     this.demand.announce();
+    if (this.hasWaitingItems() && !this.node.recentConfirmation.isRecent()) return;
     const pass: SchedulingPass = {
       snapshot,
       share: this.demand.share(snapshot),
--- a/src/storage/claimedItems/claimedItemExecution.ts
+++ b/src/storage/claimedItems/claimedItemExecution.ts
@@ -104,6 +104,7 @@
     return (
       this.env.monotonicMs() - claimedAt > Constants.claimMaxAgeMs ||
       !replica?.holdsLease() ||
+      !this.node.recentConfirmation.isRecent() ||
       !job ||
       job.ended ||
       !isStillEligible(endpoint, itemCriteria(this.node.snapshot(), route, routeName))
--- a/src/storage/claimedItems/claimedItemScheduler.ts
+++ b/src/storage/claimedItems/claimedItemScheduler.ts
@@ -83,6 +83,7 @@
     const snapshot = this.node.snapshot();
     const now = this.env.monotonicMs();
     const schedulable = this.schedulableJobs();
+    if (schedulable.length > 0 && !this.node.recentConfirmation.isRecent()) return;
     const pools = new Set(schedulable.map(({ job }) => this.routeOf(job).pool));
     for (const pool of pools) this.window.update(pool, snapshot);
     for (const entry of schedulable) this.startItems(entry, now);
