--- a/review/lib-2/http.js
+++ b/review/lib-2/http.js
@@ -28,7 +28,8 @@
         else end({ status: response.statusCode, headers: response.headers, body: Buffer.concat(chunks).toString("utf8") });
       });
     });
-    request.end(body);
+    // As bytes: Node.js would send the head in UTF-8 together with a text.
+    request.end(body === undefined ? undefined : Buffer.from(body));
   });
 }
 
