--- a/review/lib-2/case.js
+++ b/review/lib-2/case.js
@@ -59,12 +59,21 @@
   }
 }
 
+/** Ends the processes of a deployment however this process ends: by a signal, a closed pipe or an exception too. */
+function endWithProcess(fleet) {
+  process.on("exit", () => fleet.killAll());
+  for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) process.on(signal, () => process.exit(2));
+  // Without a reader of the output the case goes on; record.txt has everything.
+  process.stdout.on("error", () => undefined);
+}
+
 /**
  * Plays a case on a deployment of this size and ends the process: with 1 if the rule was broken, 0 if it held, and 2 if
  * the case could not run.
  */
 async function runCase(folder, size, play) {
   const played = new Case(await Fleet.create(size));
+  endWithProcess(played.fleet);
   let exitCode = 2;
   try {
     exitCode = await play(played);
--- a/review/lib-2/fleet.js
+++ b/review/lib-2/fleet.js
@@ -203,6 +203,11 @@
       }
     return true;
   }
+  /** Ends every process that was started here, at once, and removes the folder. */
+  killAll() {
+    for (const machine of this.machines) machine.signal("SIGKILL");
+    fs.rmSync(this.folder, { recursive: true, force: true });
+  }
   /** Ends every process that was started here. */
   async stop() {
     for (const machine of this.machines) await machine.kill();
