Count and log responses of endpoints that belong to no request, and ids repeated on a connection

Change: PB1206, unexpected_responses{endpoint,kind}, repeated_ids{endpoint}, connections_opened. No logic changes. Golden: log catalogue, rare log events and names of metrics recorded anew for the additions only.

--- a/src/common/logEvents.ts
+++ b/src/common/logEvents.ts
@@ -51,6 +51,12 @@
     operatorAction:
       "read the log of the endpoint; cause is reset (connection failed), truncated (closed early) or timeout (silent)",
   },
+  1206: {
+    level: "warn",
+    text: "response of an endpoint belongs to no request",
+    operatorAction:
+      "read the log of the endpoint; kind is otherRequest (it names another request) or idleConnection (none was in progress)",
+  },
   1301: { level: "info", text: "control group bootstrapped", operatorAction: "none" },
   1302: {
     level: "warn",
--- a/src/forwarding/directHttp.ts
+++ b/src/forwarding/directHttp.ts
@@ -101,6 +101,7 @@
       timeoutMs: Math.max(1, headTimeoutMs),
       connectTimeoutMs: Constants.endpointConnectTimeoutMs,
       cancellation,
+      correlation: { id: request.id, header: names.requestId },
     });
     if (!sent.ok) return sent;
     const response = sent.value;
--- a/src/ingress/ingressNode.ts
+++ b/src/ingress/ingressNode.ts
@@ -116,6 +116,7 @@
     return {
       ...this.counters.metrics(),
       ...CutResponses.of(this.env).metrics(),
+      ...this.env.connectionEvents.metrics(),
       slab_used: this.requestTable.usedSlots,
       late_replies: this.requestTable.lateOutcomes,
       in_flight: this.inFlight,
--- a/src/runtime/environment.ts
+++ b/src/runtime/environment.ts
@@ -1,4 +1,5 @@
 import { Result } from "../common/fault";
+import type { ConnectionEvents } from "./connectionEvents";
 import { Chan, Scope, Task } from "./csp";
 import { Disk } from "./disk";
 import { HttpExchange, HttpLimits, HttpRequest, HttpResponse } from "./http";
@@ -50,6 +51,8 @@
   stopServing(): void;
   /** Returns the number of HTTP responses that have been ended and not yet been sent to their end. */
   unsentResponses(): number;
+  /** What happened on the connections of this process to HTTP servers. */
+  readonly connectionEvents: ConnectionEvents;
   /** Sends an HTTP request. Faults: "refused" if nothing was sent, "timeout" and "broken" if it may have arrived. */
   httpRequest(address: string, request: HttpRequest): Task<Result<HttpResponse>>;
   /** Marks a numbered fault point, at which the simulator may kill the process. Does nothing in production. */
--- a/src/runtime/http.ts
+++ b/src/runtime/http.ts
@@ -63,6 +63,14 @@
   discardBody(): void;
 }
 
+/** How the response to a request is known. */
+export interface RequestCorrelation {
+  /** The id of the request. */
+  id: string;
+  /** The lower-case name of the response header that repeats the id. */
+  header: string;
+}
+
 /** A request that the client sends. */
 export interface HttpRequest {
   method: string;
@@ -71,6 +79,8 @@
   body?: string | Buffer;
   /** The maximum time until the headers of the response have arrived, in ms. */
   timeoutMs: number;
+  /** If given, a response that doesn't repeat the id is counted as unexpected. */
+  correlation?: RequestCorrelation;
   /** Whether to open a connection for this request alone, so that "refused" guarantees that nothing was sent. */
   newConnection?: boolean;
   /** The environment sets `cancel`, which aborts the request, and the response if that has begun. */
--- a/src/runtime/httpClient.ts
+++ b/src/runtime/httpClient.ts
@@ -1,48 +1,17 @@
 import type * as http from "http";
 import type * as net from "net";
-import { Constants } from "../common/constants";
 import { bodyEnd } from "./bodyEnd";
 import { bodyFraming } from "./bodyFraming";
+import { CarriedRequestIds } from "./carriedRequestIds";
 import { ConnectionEnds } from "./connectionEnd";
+import type { ConnectionEvents } from "./connectionEvents";
 import { Csp, Task } from "./csp";
 import { Fault, Result } from "../common/fault";
 import { parseAddress, forwardToChannel, streamScope, awaitCallback } from "./callbacks";
 import { HttpRequest, HttpResponse } from "./env";
+import { createKeepAliveAgent } from "./keepAliveAgent";
 import { NodeLibs } from "./nodeLibs";
 
-let sharedAgent: http.Agent | undefined;
-/**
- * Returns the agent that keeps connections to endpoints for reuse. It keeps an idle connection for at most half of the
- * keep-alive time-out that the endpoint announces, so that no request is sent while the endpoint closes the connection.
- */
-function keepAliveAgent(): http.Agent {
-  const idleDataListeners = new WeakMap<net.Socket, () => void>();
-  class KeepAliveAgent extends NodeLibs.http().Agent {
-    keepSocketAlive(socket: net.Socket & { _httpMessage?: { res?: http.IncomingMessage } }): boolean {
-      const announcedSeconds = /timeout=(\d+)/.exec(String(socket._httpMessage?.res?.headers["keep-alive"] ?? ""))?.[1];
-      const idleMs =
-        announcedSeconds === undefined
-          ? Constants.endpointConnectionIdleMs
-          : Math.min(Constants.endpointConnectionIdleMs, +announcedSeconds * 500);
-      if (idleMs <= 0) return false;
-      socket.setKeepAlive(true, 1000);
-      socket.unref();
-      socket.setTimeout(idleMs);
-      // Data on an idle connection belongs to no request, so the connection must not be reused.
-      const destroy = (): void => void socket.destroy();
-      idleDataListeners.set(socket, destroy);
-      socket.once("data", destroy);
-      return true;
-    }
-    reuseSocket(socket: net.Socket, request: http.ClientRequest): void {
-      socket.setTimeout(0);
-      socket.removeListener("data", idleDataListeners.get(socket)!);
-      super.reuseSocket(socket, request);
-    }
-  }
-  return (sharedAgent ??= new KeepAliveAgent({ keepAlive: true, maxSockets: 512, maxFreeSockets: 24 }));
-}
-
 function responseOf(method: string, response: http.IncomingMessage): HttpResponse {
   const { socket } = response;
   const status = response.statusCode ?? 0;
@@ -79,22 +48,30 @@
   return { ...options.headers, ...type, "content-length": Buffer.byteLength(options.body) };
 }
 
+/** The ids that each open connection has carried. */
+const carriedIds = new WeakMap<net.Socket, CarriedRequestIds>();
+
 /**
  * Sends HTTP requests over persistent connections. The tag of a fault tells whether the request may have been sent:
  * "refused" means that no connection was made.
  *
  * @example
- * const response = yield* HttpClient.request("10.0.0.2:80", { method: "GET", path: "/", timeoutMs: 500 });
+ * const client = new HttpClient(env.connectionEvents);
+ * const response = yield* client.request("10.0.0.2:80", { method: "GET", path: "/", timeoutMs: 500 });
  */
-export const HttpClient = {
+export class HttpClient {
+  private agent: http.Agent | undefined;
+  constructor(private readonly events: ConnectionEvents) {}
+
   *request(address: string, options: HttpRequest): Task<Result<HttpResponse>> {
     const { host, port } = parseAddress(address);
+    const { correlation } = options;
     return yield* awaitCallback<Result<HttpResponse>>((done) => {
       let sent = false;
       const request = NodeLibs.http().request({
         host,
         port,
-        agent: options.newConnection ? false : keepAliveAgent(),
+        agent: options.newConnection ? false : this.keepAliveAgent(),
         method: options.method,
         path: options.path,
         headers: headersOf(options),
@@ -112,6 +89,7 @@
           request.destroy();
         };
       request.on("socket", (socket) => {
+        if (correlation) this.noteCarried(socket, address, correlation.id);
         if (!socket.connecting) {
           sent = true;
           return;
@@ -123,6 +101,7 @@
             : setTimeout(() => request.destroy(new Error("no connection in time")), options.connectTimeoutMs);
         socket.once("connect", () => {
           sent = true;
+          this.events.opened();
           clearTimeout(connectTimer);
         });
         socket.once("close", () => clearTimeout(connectTimer));
@@ -139,9 +118,23 @@
       });
       request.on("response", (response) => {
         clearTimeout(timer);
+        if (correlation && response.headers[correlation.header] !== correlation.id)
+          this.events.unexpectedResponse(address, "otherRequest");
         done(Fault.ok(responseOf(options.method, response)));
       });
       request.end(options.body);
     });
-  },
-};
+  }
+
+  /** Node.js modules that hold handles are loaded on first use only. */
+  private keepAliveAgent(): http.Agent {
+    return (this.agent ??= createKeepAliveAgent(this.events));
+  }
+
+  private noteCarried(socket: net.Socket, address: string, id: string): void {
+    const carried = carriedIds.get(socket) ?? new CarriedRequestIds();
+    carriedIds.set(socket, carried);
+    if (carried.has(id)) this.events.repeatedId(address);
+    carried.add(id);
+  }
+}
--- a/src/runtime/nodeEnvironment.ts
+++ b/src/runtime/nodeEnvironment.ts
@@ -1,5 +1,6 @@
 import type * as net from "net";
 import { Constants } from "../common/constants";
+import { ConnectionEvents } from "./connectionEvents";
 import { Csp, Scope } from "./csp";
 import { Fault, Result } from "../common/fault";
 import { DurableDisk } from "./durableDisk";
@@ -62,13 +63,16 @@
   make(name: string, scope: Scope, log: Environment["log"]): Environment {
     const timers = new Set<NodeJS.Timeout>();
     const servers: HttpServer[] = [];
+    const monotonicMs = (): number => performance.now();
+    const connectionEvents = new ConnectionEvents({ log, monotonicMs });
+    const httpClient = new HttpClient(connectionEvents);
     scope.onStop(() => timers.forEach((handle) => clearTimeout(handle)));
     return {
       name,
       scope,
       disk: new DurableDisk(NodeDisk.steps(name)),
       wallClockMs: () => Date.now(),
-      monotonicMs: () => performance.now(),
+      monotonicMs,
       random: () => NodeLibs.crypto().randomBytes(6).readUIntBE(0, 6) / 2 ** 48,
       timer(ms) {
         const chan = Csp.closeSignal();
@@ -149,7 +153,8 @@
       },
       stopServing: () => servers.forEach((server) => server.stopServing()),
       unsentResponses: () => servers.reduce((sum, server) => sum + server.unsentCount, 0),
-      httpRequest: HttpClient.request,
+      connectionEvents,
+      httpRequest: (address, request) => httpClient.request(address, request),
       faultPoint: () => undefined,
       log,
     };
--- a/src/simulation/simEnvironment.ts
+++ b/src/simulation/simEnvironment.ts
@@ -1,3 +1,4 @@
+import { ConnectionEvents } from "../runtime/connectionEvents";
 import { Chan, Csp, Task } from "../runtime/csp";
 import { DatagramSocket, Environment, FaultPointContext, Link, Timer } from "../runtime/env";
 import { Fault, Result } from "../common/fault";
@@ -54,12 +55,14 @@
   of(process: SimProcess): Environment {
     const { host } = this;
     const environments = this;
+    const monotonicMs = (): number => MONOTONIC_START_MS + host.now;
+    const log: Environment["log"] = (event, fields) => this.log(process, event, fields);
     return {
       name: process.name,
       scope: process.scope,
       disk: process.disk.forProcess(process),
       wallClockMs: () => WALL_CLOCK_START_MS + host.now + process.skewMs,
-      monotonicMs: () => MONOTONIC_START_MS + host.now,
+      monotonicMs,
       random: () => host.random(),
       timer: (ms) => this.timer(process, ms),
       *listen(address) {
@@ -76,9 +79,10 @@
       },
       stopServing: () => host.http.stopServing(process),
       unsentResponses: () => 0,
+      connectionEvents: new ConnectionEvents({ log, monotonicMs }),
       httpRequest: (address, outgoing) => host.http.request(process, address, outgoing),
       faultPoint: (number, context) => host.reachFaultPoint(process, number, context),
-      log: (event, fields) => this.log(process, event, fields),
+      log,
     };
   }
 
--- a/src/storage/storageNode.ts
+++ b/src/storage/storageNode.ts
@@ -193,6 +193,7 @@
       affinity_hits: this.endpointSelector.affinityHits,
       affinity_misses: this.endpointSelector.affinityMisses,
       ...CutResponses.of(this.env).metrics(),
+      ...this.env.connectionEvents.metrics(),
       ...this.claimedWork.metrics(),
       ...this.batchWork.metrics(),
     };
--- a/test/golden/rareEventRun.ts
+++ b/test/golden/rareEventRun.ts
@@ -11,7 +11,7 @@
 import type { DataFolders } from "./dataFolderRun";
 
 /** Numbers of the log events that the operators' documentation mentions and that the message run does not log. */
-export const rareEventNumbers = ["1006", "1205", "1309", "1408", "1410", "1501", "1604", "1605"];
+export const rareEventNumbers = ["1006", "1205", "1206", "1309", "1408", "1410", "1501", "1604", "1605"];
 /** Virtual time at which the recorded folders are opened. It is later than all times in them. */
 const OPENED_AFTER_MS = 15_000;
 /** A snapshot that is not needed, because the logs next to it are complete. */
@@ -70,6 +70,15 @@
   return lines;
 }
 
+/** Reports data on a connection without a request in progress. */
+function reportUnexpectedResponse(): string[] {
+  const lines: string[] = [];
+  const world = new SimWorld(46, (line) => lines.push(line));
+  const { env } = world.start("ingress-1", new SimDisk(world));
+  env.connectionEvents.unexpectedResponse("127.0.0.1:1", "idleConnection");
+  return lines;
+}
+
 /** Fetches a control snapshot from a member that does not exist. */
 async function runFailedFetch(): Promise<string[]> {
   const lines: string[] = [];
@@ -108,6 +117,7 @@
     ...(await runWithTooFewVoters()),
     ...(await runOnDamagedFolders(folders)),
     ...reportCutResponse(),
+    ...reportUnexpectedResponse(),
     ...(await runFailedFetch()),
     ...(await runWithoutConfirmation()),
   ];
