Close a connection on which a response to another request was received

Callers saw: a second request that failed with 502 by a copy that had met the first. The response of the request in whose place the copy came was read as the response to the next request on that connection. Cause: DirectHttp.open aborted a response with another request's id, but a response without a body has ended by the time the task runs, so that aborting it closes nothing and the connection is kept. Change: the HTTP client compares the id where the response head arrives, before its end, and closes the connection; the simulator does the same. The fault keeps its tag and step. Test: secondResponses, 'one that was sent a response to another request...': before, q2 got 502; now it passes.

--- a/src/forwarding/directHttp.ts
+++ b/src/forwarding/directHttp.ts
@@ -84,7 +84,10 @@
     return forwarded;
   },
 
-  /** Sends the request, waits up to headTimeoutMs for the response headers, and checks that they belong to the request. */
+  /**
+   * Sends the request and waits up to headTimeoutMs for the response headers. The client has checked that they belong to this
+   * sending of the request: a refusal of another request, or of an earlier attempt, says nothing about one that may be running.
+   */
   *open(
     env: Environment,
     names: HeaderNames,
@@ -105,11 +108,6 @@
     });
     if (!sent.ok) return sent;
     const response = sent.value;
-    // This check comes first: a late refusal of another request says nothing about this one, which may be running.
-    if (response.headers[names.requestId] !== request.id) {
-      response.abort();
-      return Fault.fail("broken", "check reply", endpoint.id, "the reply is another request's");
-    }
     if (response.headers[names.notExecuted] !== undefined || response.status === MISDIRECTED_REQUEST) {
       response.discardBody();
       return Fault.fail("refused", "deliver", endpoint.id, `replica replied ${response.status}: not run`);
--- a/src/runtime/env.ts
+++ b/src/runtime/env.ts
@@ -4,5 +4,6 @@
 export type { Disk } from "./disk";
 export type { Environment, FaultPointContext, Timer } from "./environment";
 export { EnvironmentTools } from "./environmentTools";
-export type { HttpExchange, HttpLimits, HttpRequest, HttpResponse, RequestCorrelation, StreamFraming } from "./http";
+export type { HttpExchange, HttpLimits, HttpRequest, HttpResponse, StreamFraming } from "./http";
+export type { RequestCorrelation } from "./requestCorrelation";
 export type { DatagramSocket, Link } from "./network";
--- a/src/runtime/http.ts
+++ b/src/runtime/http.ts
@@ -2,6 +2,7 @@
 import type { BodyEnd } from "./bodyEnd";
 import type { BodyFraming } from "./bodyFraming";
 import { Chan, Task } from "./csp";
+import type { RequestCorrelation } from "./requestCorrelation";
 
 /** Limits on the requests and connections of callers. */
 export interface HttpLimits {
@@ -63,14 +64,6 @@
   discardBody(): void;
 }
 
-/** How the response to a request is known. */
-export interface RequestCorrelation {
-  /** The id of the request. */
-  id: string;
-  /** The lower-case name of the response header that repeats the id. */
-  header: string;
-}
-
 /** A request that the client sends. */
 export interface HttpRequest {
   method: string;
@@ -79,7 +72,7 @@
   body?: string | Buffer;
   /** The maximum time until the headers of the response have arrived, in ms. */
   timeoutMs: number;
-  /** If given, a response that doesn't repeat the id is counted as unexpected. */
+  /** If given, a response to another request is a fault "broken" with the step "check reply", and ends its connection. */
   correlation?: RequestCorrelation;
   /** Whether to open a connection for this request alone, so that "refused" guarantees that nothing was sent. */
   newConnection?: boolean;
--- a/src/runtime/httpClient.ts
+++ b/src/runtime/httpClient.ts
@@ -11,6 +11,7 @@
 import { HttpRequest, HttpResponse } from "./env";
 import { createKeepAliveAgent } from "./keepAliveAgent";
 import { NodeLibs } from "./nodeLibs";
+import { isResponseTo, OTHER_REQUEST_ANSWERED } from "./requestCorrelation";
 
 function responseOf(method: string, response: http.IncomingMessage): HttpResponse {
   const { socket } = response;
@@ -68,14 +69,15 @@
     const { correlation } = options;
     return yield* awaitCallback<Result<HttpResponse>>((done) => {
       let sent = false;
-      const request = NodeLibs.http().request({
+      const requestOptions: http.RequestOptions = {
         host,
         port,
         agent: options.newConnection ? false : this.keepAliveAgent(),
         method: options.method,
         path: options.path,
         headers: headersOf(options),
-      });
+      };
+      const request = NodeLibs.http().request(requestOptions);
       const fail = (detail: string): void =>
         done(Fault.fail(sent ? "broken" : "refused", "http request", address, detail));
       const timer = setTimeout(() => {
@@ -118,8 +120,13 @@
       });
       request.on("response", (response) => {
         clearTimeout(timer);
-        if (correlation && response.headers[correlation.header] !== correlation.id)
+        if (correlation && !isResponseTo(correlation, response.headers)) {
+          // The response to this request may still follow, so the connection can't be used again.
+          request.destroy();
           this.events.unexpectedResponse(address, "otherRequest");
+          done(Fault.fail("broken", OTHER_REQUEST_ANSWERED.step, address, OTHER_REQUEST_ANSWERED.detail));
+          return;
+        }
         done(Fault.ok(responseOf(options.method, response)));
       });
       request.end(options.body);
--- a/src/simulation/simHttp.ts
+++ b/src/simulation/simHttp.ts
@@ -3,6 +3,7 @@
 import type { ConnectionEnd } from "../runtime/connectionEnd";
 import { Chan, Csp, Task } from "../runtime/csp";
 import { BodyFraming, HttpExchange, HttpRequest, HttpResponse } from "../runtime/env";
+import { isResponseTo, OTHER_REQUEST_ANSWERED } from "../runtime/requestCorrelation";
 import { Fault, Result } from "../common/fault";
 import { NetworkClock, PipeSend, SimNetwork } from "./simNetwork";
 import type { SimProcess } from "./simProcess";
@@ -32,7 +33,7 @@
   exchange: OpenExchange | undefined;
   /** Receives the response or the fault. */
   readonly outcome = Csp.chan<{ value: Result<HttpResponse> }>(1);
-  constructor(private readonly address: string) {}
+  constructor(readonly address: string) {}
 
   settle(result: Result<HttpResponse>): void {
     if (this.state === "responded" || this.state === "closed") return;
@@ -53,6 +54,10 @@
     this.exchange?.disconnectClient();
     this.exchange?.disconnectServer();
   }
+  rejectResponse(): void {
+    const { step, detail } = OTHER_REQUEST_ANSWERED;
+    this.settle(Fault.fail("broken", step, this.address, detail));
+  }
   reset(): void {
     this.settle(Fault.fail("broken", "http request", this.address, "connection reset"));
   }
@@ -77,7 +82,7 @@
     private readonly request: ClientRequest,
     client: SimProcess,
     server: SimProcess,
-    outgoing: HttpRequest,
+    private readonly outgoing: HttpRequest,
   ) {
     this.toClient = http.network.pipe(server, client);
     this.exchange = {
@@ -118,9 +123,17 @@
         this.exchange.disconnectServer();
       },
     };
-    this.toClient(() => this.request.settle(Fault.ok(response)));
+    this.toClient(() => this.receive(response));
     return true;
   }
+  /** Takes a response at the client, and ends the connection if it is the response to another request. */
+  private receive(response: HttpResponse): void {
+    const { correlation } = this.outgoing;
+    if (!correlation || isResponseTo(correlation, response.headers)) return this.request.settle(Fault.ok(response));
+    this.exchange.client.env.connectionEvents.unexpectedResponse(this.request.address, "otherRequest");
+    this.request.rejectResponse();
+    this.exchange.disconnectServer();
+  }
   private sendChunk(chunk: string | Buffer): void {
     this.toClient(() => void Csp.offer(this.chunks, Buffer.from(chunk as string)));
   }
