Send an id only once on a connection, so that a late copy of a response is not taken for a later one

Cause: a response is matched to its request by the id. After all replicas have refused, the same id goes to a replica that refused it, and the agent took the idle connection that had carried it. A second copy of the refusal, late, in the place of the next response, names the right id. Change: each connection remembers its last 32 ids; the agent takes the idle connection that was used last and has not carried the id, or opens one. EndpointHttp names its ids too; a response that names another request is not used there. Why this works: a copy comes on the connection of its original. There its id now differs from every later request's, so it ends that connection and proves nothing.

--- a/src/forwarding/endpointHttp.ts
+++ b/src/forwarding/endpointHttp.ts
@@ -2,7 +2,7 @@
 import { Fault, Result } from "../common/fault";
 import type { Endpoint } from "../node/clusterSnapshot";
 import { Task } from "../runtime/csp";
-import { Environment, HttpResponse } from "../runtime/env";
+import { Environment, HttpResponse, RequestCorrelation } from "../runtime/env";
 import { EndpointBody } from "./endpointBody";
 import { EndpointStream } from "./endpointStream";
 import { impliesNotExecuted } from "./notExecutedStatus";
@@ -30,12 +30,20 @@
   body: string;
 }
 
+const REQUEST_ID_HEADER = "x-request-id";
+
 const headersOf = (request: ForwardedRequest): Record<string, string> => ({
-  "x-request-id": request.id,
+  [REQUEST_ID_HEADER]: request.id,
   "x-round": String(request.attempt),
   "x-deadline-ms": String(Math.max(1, Math.round(request.deadlineMs))),
 });
 
+const correlationOf = ({ id }: ForwardedRequest): RequestCorrelation => ({
+  id,
+  header: REQUEST_ID_HEADER,
+  isHeaderOptional: true,
+});
+
 function bodyOf(request: ForwardedRequest): string {
   if (request.receivedChunks.length === 0) return request.body;
   const body = JSON.parse(request.body) as object;
@@ -69,6 +77,7 @@
       body: bodyOf(request),
       timeoutMs: Math.min(request.deadlineMs, Constants.firstChunkTimeoutMs),
       newConnection: !request.idempotent,
+      correlation: correlationOf(request),
     });
     if (!response.ok) return response;
     const { status } = response.value;
@@ -87,6 +96,7 @@
       body: request.body,
       timeoutMs: request.deadlineMs,
       newConnection: !request.idempotent,
+      correlation: correlationOf(request),
     });
     if (!sent.ok) return sent;
     const response = sent.value;
--- a/src/runtime/http.ts
+++ b/src/runtime/http.ts
@@ -72,7 +72,10 @@
   body?: string | Buffer;
   /** The maximum time until the headers of the response have arrived, in ms. */
   timeoutMs: number;
-  /** If given, a response to another request is a fault "broken" with the step "check reply", and ends its connection. */
+  /**
+   * Identifies the request on connections. It isn't sent on one that has carried the same id before; a response to another
+   * request is a fault "broken" with the step "check reply", and ends its connection.
+   */
   correlation?: RequestCorrelation;
   /** Whether to open a connection for this request alone, so that "refused" guarantees that nothing was sent. */
   newConnection?: boolean;
--- a/src/runtime/httpClient.ts
+++ b/src/runtime/httpClient.ts
@@ -2,14 +2,14 @@
 import type * as net from "net";
 import { bodyEnd } from "./bodyEnd";
 import { bodyFraming } from "./bodyFraming";
-import { CarriedRequestIds } from "./carriedRequestIds";
+import { carriedRequestIdsOf } from "./carriedRequestIds";
 import { ConnectionEnds } from "./connectionEnd";
 import type { ConnectionEvents } from "./connectionEvents";
 import { Csp, Task } from "./csp";
 import { Fault, Result } from "../common/fault";
 import { parseAddress, forwardToChannel, streamScope, awaitCallback } from "./callbacks";
 import { HttpRequest, HttpResponse } from "./env";
-import { createKeepAliveAgent } from "./keepAliveAgent";
+import { ConnectionOptions, createKeepAliveAgent } from "./keepAliveAgent";
 import { NodeLibs } from "./nodeLibs";
 import { isResponseTo, OTHER_REQUEST_ANSWERED } from "./requestCorrelation";
 
@@ -49,8 +49,16 @@
   return { ...options.headers, ...type, "content-length": Buffer.byteLength(options.body) };
 }
 
-/** The ids that each open connection has carried. */
-const carriedIds = new WeakMap<net.Socket, CarriedRequestIds>();
+/**
+ * Notes that a connection carries an id; returns false if it has carried it before. That can only be if the request had to wait
+ * for a connection, since the agent has chosen among those that were idle.
+ */
+function claimConnection(socket: net.Socket, id: string): boolean {
+  const carried = carriedRequestIdsOf(socket);
+  if (carried.has(id)) return false;
+  carried.add(id);
+  return true;
+}
 
 /**
  * Sends HTTP requests over persistent connections. The tag of a fault tells whether the request may have been sent:
@@ -69,13 +77,14 @@
     const { correlation } = options;
     return yield* awaitCallback<Result<HttpResponse>>((done) => {
       let sent = false;
-      const requestOptions: http.RequestOptions = {
+      const requestOptions: ConnectionOptions = {
         host,
         port,
         agent: options.newConnection ? false : this.keepAliveAgent(),
         method: options.method,
         path: options.path,
         headers: headersOf(options),
+        correlationId: correlation?.id,
       };
       const request = NodeLibs.http().request(requestOptions);
       const fail = (detail: string): void =>
@@ -91,7 +100,11 @@
           request.destroy();
         };
       request.on("socket", (socket) => {
-        if (correlation) this.noteCarried(socket, address, correlation.id);
+        if (correlation && !claimConnection(socket, correlation.id)) {
+          this.events.repeatedId(address);
+          request.destroy(new Error("the connection has carried the id"));
+          return;
+        }
         if (!socket.connecting) {
           sent = true;
           return;
@@ -137,11 +150,4 @@
   private keepAliveAgent(): http.Agent {
     return (this.agent ??= createKeepAliveAgent(this.events));
   }
-
-  private noteCarried(socket: net.Socket, address: string, id: string): void {
-    const carried = carriedIds.get(socket) ?? new CarriedRequestIds();
-    carriedIds.set(socket, carried);
-    if (carried.has(id)) this.events.repeatedId(address);
-    carried.add(id);
-  }
 }
--- a/test/socketIngress.ts
+++ b/test/socketIngress.ts
@@ -80,6 +80,8 @@
   /** The number of connections that the endpoints accepted. */
   connections = 0;
   port = 0;
+  /** The addresses of the endpoints, in the order of their behaviours. */
+  endpointAddresses: string[] = [];
 
   /** Starts an ingress with one endpoint for each behaviour; a further call replaces it. */
   async start(overrides: Partial<Route>, behaviours: EndpointBehaviour[], capacity = DEFAULT_CAPACITY): Promise<void> {
@@ -99,6 +101,7 @@
         bornAt: 0,
         warmAt: 0,
       });
+    this.endpointAddresses = endpoints.map(({ address }) => address);
     const direct = new DirectRequestHandler(this.contextWith(snapshotOf(routeWith(overrides), endpoints)));
     this.port = await this.world.serve((exchange) => direct.serve(exchange));
   }
