Log each failed write of a control voter, and tell how many voters can write

- PB1404 at every control process whose write fails, leader or not, once for each failure; formerly only a leader's log writer logged it, and once more for each later try.
- PB1310 and PB1311 at the leader when the voters that can write change; voters_can_write and voters_needed (leader) and disk_failed (each process) in the metrics; GET /v1/voters, and a line in petrelbeam members.

No change of what a voter does.

--- a/src/adapters/operator/clusterRoutes.ts
+++ b/src/adapters/operator/clusterRoutes.ts
@@ -4,7 +4,7 @@
 import { Task } from "../../runtime/csp";
 import { HttpRoute } from "../http";
 import type { OperatorContext } from "./operatorContext";
-import { readRoute } from "./readRoute";
+import { CONTROL_READ_TIMEOUT_MS, readRoute } from "./readRoute";
 
 /** The time-out of a query of one storage node. */
 const SHARDS_TIMEOUT_MS = 800;
@@ -51,13 +51,16 @@
 }
 
 /**
- * Routes that return the state of the cluster as this node knows it.
+ * Routes that return the state of the cluster as this node knows it, and of the voters as the control leader knows it.
  *
  * @example
  * const routes = clusterRoutes(context);
  */
 export const clusterRoutes = (context: OperatorContext): HttpRoute[] => [
   readRoute(context.node.id, /^\/v1\/members$/, () => readMembers(context.node)),
+  readRoute(context.node.id, /^\/v1\/voters$/, () =>
+    context.node.control.request({ op: "read", what: "voters" }, CONTROL_READ_TIMEOUT_MS),
+  ),
   readRoute(context.node.id, /^\/v1\/inforce$/, () => readInForce(context)),
   readRoute(context.node.id, /^\/v1\/shards$/, () => readShards(context.node)),
 ];
--- a/src/cli/operator/inspectionCommands.ts
+++ b/src/cli/operator/inspectionCommands.ts
@@ -1,7 +1,8 @@
 import type { Sade } from "sade";
 import { printLine } from "../output";
-import { CommandOptions, nodeCommand, readResource } from "./commandRunner";
-import { LedgerEntryBody, MembersBody, ShardsBody, WhyBody } from "./responses";
+import { CommandOptions, nodeCommand, readResource, runWithNode } from "./commandRunner";
+import { sendRequest } from "./operatorClient";
+import { LedgerEntryBody, MembersBody, ShardsBody, VotersBody, WhyBody } from "./responses";
 
 interface LedgerOptions extends CommandOptions {
   after: string;
@@ -34,6 +35,21 @@
     `group ${body.group}, frame ${body.frame}, manifest ${body.manifest}, drained: ${drained}, retiring: ${retiring}`,
   );
 }
+function formatVoters({ leader, voters, canWrite, needed }: VotersBody): string {
+  const others = voters.filter((id) => !canWrite.includes(id)).join(" ") || "none";
+  return `control leader ${leader}: ${canWrite.length} of ${voters.length} voters can write, ${needed} needed; cannot write: ${others}`;
+}
+/** Prints which voters can write, or that no leader can tell. */
+async function printVoters({ node }: CommandOptions): Promise<void> {
+  await runWithNode(async () => {
+    const { status, body } = await sendRequest(node, "GET", "/v1/voters");
+    printLine(status === 200 ? formatVoters(body as VotersBody) : "control group: no leader that a majority follows");
+  });
+}
+async function showMembers(options: CommandOptions): Promise<void> {
+  await readResource<MembersBody>(options, "/v1/members", printMembers);
+  if (!options.json && !process.exitCode) await printVoters(options);
+}
 function printShards(body: ShardsBody): void {
   for (const { store, shards } of body.stores)
     for (const replica of shards)
@@ -67,8 +83,8 @@
 /** Adds the read-only commands for the ledger, members, shards, batch jobs and metrics. */
 export function addInspectionCommands(program: Sade): void {
   addLedgerCommands(program);
-  nodeCommand(program, "members", "Lists the members and the endpoints.").action((options: CommandOptions) =>
-    readResource<MembersBody>(options, "/v1/members", printMembers),
+  nodeCommand(program, "members", "Lists the members and the endpoints, and the voters that can write.").action(
+    (options: CommandOptions) => showMembers(options),
   );
   nodeCommand(program, "shards", "Lists the replicas of every shard.").action((options: CommandOptions) =>
     readResource<ShardsBody>(options, "/v1/shards", printShards),
--- a/src/cli/operator/responses.ts
+++ b/src/cli/operator/responses.ts
@@ -65,6 +65,15 @@
   drained: string[];
   retiring: string[];
 }
+/** The voters of the control group, as its leader sees them. */
+export interface VotersBody {
+  leader: string;
+  voters: string[];
+  /** Voters that can be reached and can write. */
+  canWrite: string[];
+  /** Number of voters that must be able to write. */
+  needed: number;
+}
 /** The state of one shard replica. */
 export interface ShardReplicaBody {
   shard: number;
--- a/src/common/logEvents.ts
+++ b/src/common/logEvents.ts
@@ -83,6 +83,13 @@
     text: "control group continues with too few voters",
     operatorAction: "start the missing control machines; the group grows automatically",
   },
+  1310: {
+    level: "warn",
+    text: "voters of the control group cannot write",
+    operatorAction:
+      "check machine and disk of those named in cannotWrite; canWrite - needed is the number of further losses that the group survives",
+  },
+  1311: { level: "info", text: "all voters of the control group can write again", operatorAction: "none" },
   1320: {
     level: "error",
     text: "control log rejected entries that would replace committed ones",
--- a/src/consensus/consensusGroup.ts
+++ b/src/consensus/consensusGroup.ts
@@ -1,3 +1,4 @@
+import { Constants } from "../common/constants";
 import { Fault, Result } from "../common/fault";
 import { Command, Outcome } from "../controlState/command";
 import { ControlState } from "../controlState/controlState";
@@ -8,6 +9,7 @@
 import { CheckpointedLog } from "../runtime/checkpointedLog";
 import { AppendEntriesHandler } from "./appendEntriesHandler";
 import { CatchUp } from "./catchUp";
+import { ConsensusEvent } from "./consensusEvents";
 import { ConsensusGroupHooks, ConsensusReplica } from "./consensusReplica";
 import { Election } from "./election";
 import { LeaderLease } from "./leaderLease";
@@ -56,7 +58,8 @@
     storage: CheckpointedLog,
     hooks: ConsensusGroupHooks,
   ) {
-    this.log = new ReplicatedLog(new LogStore(storage));
+    const store = new LogStore(storage, (fault) => env.log(ConsensusEvent.diskFailed, { fault }));
+    this.log = new ReplicatedLog(store);
     this.replica = new ConsensusReplica(env, selfId, this.log, hooks);
     this.replication = new Replication(this.replica, rpc);
     this.lease = new LeaderLease(this.replica);
@@ -132,6 +135,10 @@
   get electionsStarted(): number {
     return this.election.electionsStarted;
   }
+  /** Whether a write to this server's disk has failed, so that it can neither vote nor acknowledge entries. */
+  hasDiskFailed(): boolean {
+    return this.log.hasDiskFailed();
+  }
   /** Index of the last entry that the snapshot covers. */
   get snapshotIndex(): number {
     return this.log.snapshotIndex;
@@ -151,6 +158,14 @@
   quorumContactAt(): number {
     return this.lease.quorumContactAt();
   }
+  /** Returns the voters that can write, as known to the leader: itself, and those that acknowledged it recently. */
+  writableVoters(): string[] {
+    return this.lease.votersInContactWithin(Constants.electionTimeoutMinMs);
+  }
+  /** Number of voters that must be able to write, so that entries are committed. */
+  majority(): number {
+    return this.replica.majority();
+  }
   /** Number of entries by which a server lags behind, as known to the leader. */
   lag(id: string): number {
     return this.catchUp.lag(id);
--- a/src/consensus/logStore.ts
+++ b/src/consensus/logStore.ts
@@ -32,7 +32,11 @@
  * been synced. After a failed write, every further write returns the fault "disk".
  */
 export class LogStore {
-  constructor(private readonly storage: CheckpointedLog) {}
+  /** @param onFailure is called when a write fails; not for writes that are rejected because of an earlier failure */
+  constructor(
+    private readonly storage: CheckpointedLog,
+    private readonly onFailure: (fault: Fault) => void = () => undefined,
+  ) {}
 
   /** Whether an earlier write failed. No further writes are made then. */
   get hasFailed(): boolean {
@@ -53,11 +57,18 @@
 
   /** Appends records in one synced write. */
   append(...records: LogRecord[]): Task<Result<true>> {
-    return this.storage.append(records.map((record) => StorageCodec.encodeRecord(record)));
+    return this.reportFailure(() => this.storage.append(records.map((record) => StorageCodec.encodeRecord(record))));
   }
 
   /** Replaces the snapshot and all records on disk. */
   replace(state: PersistentState): Task<Result<true>> {
-    return this.storage.checkpoint(StorageCodec.encodeState(state));
+    return this.reportFailure(() => this.storage.checkpoint(StorageCodec.encodeState(state)));
+  }
+
+  private *reportFailure(write: () => Task<Result<true>>): Task<Result<true>> {
+    const hadFailed = this.hasFailed;
+    const written = yield* write();
+    if (!written.ok && !hadFailed) this.onFailure(written.fault);
+    return written;
   }
 }
--- a/src/consensus/logWriter.ts
+++ b/src/consensus/logWriter.ts
@@ -1,6 +1,5 @@
 import { Csp, Task } from "../runtime/csp";
 import { EnvironmentTools } from "../runtime/env";
-import { ConsensusEvent } from "./consensusEvents";
 import { ConsensusReplica } from "./consensusReplica";
 import { Replication } from "./replication";
 
@@ -29,10 +28,9 @@
   }
   private *writeAndCompact(): Task<void> {
     const { replica } = this;
-    const { env, log } = replica;
+    const { log } = replica;
     const synced = yield* log.sync();
     if (!synced.ok) {
-      env.log(ConsensusEvent.diskFailed, { fault: synced.fault });
       yield* replica.stepDown(log.currentTerm, true);
       return;
     }
--- a/src/control/controlNode.ts
+++ b/src/control/controlNode.ts
@@ -22,6 +22,7 @@
 import { LedgerDelivery } from "./ledgerDelivery";
 import { RetirementOrders } from "./retirementOrders";
 import { ShardPlacement } from "./shardPlacement";
+import { VoterHealth } from "./voterHealth";
 import { VoterManager } from "./voterManager";
 
 /** Response to "control.status". The field names are part of the protocol. */
@@ -58,6 +59,7 @@
   private readonly shardClient: ShardClient;
   private readonly leadership: Leadership;
   private readonly voterManager: VoterManager;
+  private readonly voterHealth: VoterHealth;
   private readonly bootstrap: GroupBootstrap;
   private readonly recovery: GroupRecoveryHandler;
   private readonly requestHandler: ControlRequestHandler;
@@ -73,6 +75,7 @@
     this.group = group;
     this.leadership = new Leadership(node, group);
     this.voterManager = new VoterManager(env, node, group, voterCount);
+    this.voterHealth = new VoterHealth(env, node, group);
     this.bootstrap = new GroupBootstrap(env, settings, node, group, voterCount);
     this.recovery = new GroupRecoveryHandler(node, group);
     this.shardPlacement = new ShardPlacement(env, node, group);
@@ -82,7 +85,15 @@
     this.ledgerDelivery = new LedgerDelivery(env, group, this.shardClient);
     const proposals = new ChangeProposals(env, node, group, this.voterManager);
     const retirementOrders = new RetirementOrders(env, node, group, retirement, proposals);
-    this.requestHandler = new ControlRequestHandler(env, node, group, this.leadership, proposals, retirementOrders);
+    this.requestHandler = new ControlRequestHandler(
+      env,
+      node,
+      group,
+      this.leadership,
+      this.voterHealth,
+      proposals,
+      retirementOrders,
+    );
   }
 
   private createGroup(): ConsensusGroup {
@@ -143,6 +154,7 @@
     this.group.start();
     EnvironmentTools.runSupervised(env, env.scope, "bootstrap", () => this.bootstrap.run());
     EnvironmentTools.runSupervised(env, env.scope, "voter management", () => this.voterManager.run());
+    EnvironmentTools.runSupervised(env, env.scope, "voter health", () => this.voterHealth.run());
     EnvironmentTools.runSupervised(env, env.scope, "ledger delivery", () => this.ledgerDelivery.run());
     this.shardPlacement.start();
     this.calendar.start();
@@ -197,6 +209,7 @@
       oldest_index: this.oldestIndex(),
       elections: this.group.electionsStarted,
       voters: this.group.voters().length,
+      ...this.voterHealth.metrics(),
       views_changed: this.shardPlacement.viewsChanged,
       moves_run: this.calendar.completedCount,
     };
--- a/src/control/controlRequestHandler.ts
+++ b/src/control/controlRequestHandler.ts
@@ -9,6 +9,7 @@
 import { ChangeProposals } from "./changeProposals";
 import { Leadership } from "./leadership";
 import { RetirementOrders } from "./retirementOrders";
+import { VoterHealth } from "./voterHealth";
 
 /** Returns a part of the control state, or null if no part has that name or id. */
 function readState(state: ControlState, { what, id = "" }: ReadRequest): unknown {
@@ -39,6 +40,7 @@
     private readonly node: Node,
     private readonly group: ConsensusGroup,
     private readonly leadership: Leadership,
+    private readonly voterHealth: VoterHealth,
     private readonly proposals: ChangeProposals,
     private readonly retirementOrders: RetirementOrders,
   ) {
@@ -70,6 +72,7 @@
         return Fault.ok<LeaderClock>({ clockId: this.clockId, now: this.env.monotonicMs() });
       case "read":
         if (request.what === "retirement") return Fault.ok(yield* this.retirementOrders.read(request.id ?? ""));
+        if (request.what === "voters") return Fault.ok(this.voterHealth.status() ?? null);
         return Fault.ok(readState(this.group.state, request));
       case "change":
         return yield* this.proposals.propose(request.command);
--- a/src/node/controlRequest.ts
+++ b/src/node/controlRequest.ts
@@ -11,7 +11,7 @@
 /** Reads a part of the control state. */
 export interface ReadRequest {
   op: "read";
-  /** "manifest", "policies", "calendar", "change", "views" or "retirement"; the response to any other is null. */
+  /** "manifest", "policies", "calendar", "change", "views", "voters" or "retirement"; the response to any other is null. */
   what: string;
   /** Id of the calendar entry, change or storage node. */
   id?: string;
