--- a/src/simulation/simDisk.ts
+++ b/src/simulation/simDisk.ts
@@ -40,6 +40,8 @@
   private root = new SimFolder();
   /** Whether writes and syncs fail with EIO. */
   failing = false;
+  /** Whether syncs fail with EIO, while writes succeed. */
+  syncFailing = false;
   /** Whether writes fail with ENOSPC. */
   full = false;
   /** Duration of a sync in ms: minimum, and maximum of the random part. */
@@ -64,6 +66,7 @@
   wipe(): void {
     this.root = new SimFolder();
     this.failing = false;
+    this.syncFailing = false;
     this.full = false;
   }
   /** Durable content of all files below a folder, by path relative to it. */
--- a/src/simulation/simDiskSteps.ts
+++ b/src/simulation/simDiskSteps.ts
@@ -9,6 +9,7 @@
 /** What the elementary operations need from their disk. */
 export interface SteppedDisk {
   readonly failing: boolean;
+  readonly syncFailing: boolean;
   readonly full: boolean;
   /** Number of syncs that succeeded. */
   syncCount: number;
@@ -32,7 +33,7 @@
   const syncContent = function* (step: string, file: SimFile): Task<Result<true>> {
     const covered = file.unsyncedChanges();
     yield* wait();
-    if (disk.failing) {
+    if (disk.failing || disk.syncFailing) {
       file.recordFailedSync();
       return fail(step, "EIO");
     }
@@ -87,7 +88,7 @@
       if (!(folder instanceof SimFolder)) return fail(`sync ${path}`, "ENOENT");
       const covered = folder.unsyncedChanges();
       yield* wait();
-      if (disk.failing) return fail(`sync ${path}`, "EIO");
+      if (disk.failing || disk.syncFailing) return fail(`sync ${path}`, "EIO");
       disk.syncCount += 1;
       folder.recordSync(covered);
       return Fault.ok(true as const);
