Take a control voter's disk into use again after a failed write

What callers saw: the configuration didn't come any more after as many machines were lost as the deployment allows, a minute after a control process had failed one write.

Cause: CheckpointedLog.hasFailed was set by the first failed write for the life of the process. The voter was alive, so the leader took it for a sound one, but it never voted nor acknowledged anything again.

Change: DiskRecovery tries the disk with backoff (100 to 800 ms). Under the log's lock it writes all that the server has acknowledged or applied to new files, both checkpoints with their logs (CheckpointedLog.rewrite), and only after the last sync votes and acknowledges anew. It is written from memory: each change is made there after its write, so memory has all that was acknowledged; the commit index never goes back, and a folder that vanished is made again. A failed server grants no pre-vote either, and a temporary file whose write failed is removed, since a later sync proves nothing about it.

--- a/src/common/constants/control.ts
+++ b/src/common/constants/control.ts
@@ -87,6 +87,10 @@
   changeOutcomesRetained: 2000,
   /** Maximum lag of a standby that may become a voter, entries. */
   standbyMaxLag: 20,
+  /** Pause before the first attempt to use a disk again after a failed write, ms. */
+  diskRetryMinMs: 100,
+  /** Maximum pause between such attempts, ms; a machine counts as lost for several times as long after its trouble. */
+  diskRetryMaxMs: 800,
   /** Period in which the leader checks the calendar for due entries, ms. */
   calendarPeriodMs: 250,
   /** Delay before a drained zone is checked again, ms. */
--- a/src/common/logEvents.ts
+++ b/src/common/logEvents.ts
@@ -90,6 +90,11 @@
       "check machine and disk of those named in cannotWrite; canWrite - needed is the number of further losses that the group survives",
   },
   1311: { level: "info", text: "all voters of the control group can write again", operatorAction: "none" },
+  1312: {
+    level: "info",
+    text: "disk of a control process is in use again",
+    operatorAction: "none, unless it repeats: check the disk",
+  },
   1320: {
     level: "error",
     text: "control log rejected entries that would replace committed ones",
--- a/src/consensus/appendEntriesHandler.ts
+++ b/src/consensus/appendEntriesHandler.ts
@@ -38,9 +38,9 @@
     const supersedesOwnGroup = log.isBootstrapped() && GroupRecovery.supersedes(request.groupId, replica.groupId());
     if (log.isBootstrapped() && request.groupId !== replica.groupId() && !supersedesOwnGroup)
       return this.reject(request.leaderId, "another group's append");
-    if (log.hasDiskFailed()) return Fault.fail("disk", "append", replica.selfId, "disk failed");
     yield* Csp.take(log.diskLock);
     try {
+      if (log.hasDiskFailed()) return Fault.fail("disk", "append", replica.selfId, "disk failed");
       let response = yield* this.append(request, supersedesOwnGroup);
       if (response.ok && response.value.success && request.chunk)
         response = yield* this.receiveChunk(body, request.chunk, supersedesOwnGroup);
--- a/src/consensus/consensusEvents.ts
+++ b/src/consensus/consensusEvents.ts
@@ -7,6 +7,7 @@
   steppedDown: 1304,
   majorityLost: 1307,
   recoveredFromOneVoter: 1308,
+  diskRecovered: 1312,
   committedEntryConflict: 1320,
   messageRejected: 1321,
   diskFailed: 1404,
--- a/src/consensus/consensusGroup.ts
+++ b/src/consensus/consensusGroup.ts
@@ -9,8 +9,8 @@
 import { CheckpointedLog } from "../runtime/checkpointedLog";
 import { AppendEntriesHandler } from "./appendEntriesHandler";
 import { CatchUp } from "./catchUp";
-import { ConsensusEvent } from "./consensusEvents";
 import { ConsensusGroupHooks, ConsensusReplica } from "./consensusReplica";
+import { DiskRecovery } from "./diskRecovery";
 import { Election } from "./election";
 import { LeaderLease } from "./leaderLease";
 import { LeadershipTransfer } from "./leadershipTransfer";
@@ -58,8 +58,7 @@
     storage: CheckpointedLog,
     hooks: ConsensusGroupHooks,
   ) {
-    const store = new LogStore(storage, (fault) => env.log(ConsensusEvent.diskFailed, { fault }));
-    this.log = new ReplicatedLog(store);
+    this.log = new ReplicatedLog(new LogStore(storage));
     this.replica = new ConsensusReplica(env, selfId, this.log, hooks);
     this.replication = new Replication(this.replica, rpc);
     this.lease = new LeaderLease(this.replica);
@@ -77,6 +76,7 @@
     const votes = new VoteHandler(replica, this.election);
     const appends = new AppendEntriesHandler(replica);
     const logWriter = new LogWriter(replica, this.replication);
+    const diskRecovery = new DiskRecovery(replica);
     rpc.handle(ConsensusMethod.preVote, (body) => votes.onPreVote(body));
     rpc.handle(ConsensusMethod.requestVote, (body) => votes.onRequestVote(body));
     rpc.handle(ConsensusMethod.appendEntries, (body) => appends.onAppendEntries(body));
@@ -87,6 +87,7 @@
     replica.resetRestartElectionTimer();
     EnvironmentTools.runSupervised(env, env.scope, "election", () => this.election.run());
     EnvironmentTools.runSupervised(env, env.scope, "log writer", () => logWriter.run());
+    EnvironmentTools.runSupervised(env, env.scope, "disk recovery", () => diskRecovery.run());
   }
 
   // ---------- state ----------
@@ -135,7 +136,7 @@
   get electionsStarted(): number {
     return this.election.electionsStarted;
   }
-  /** Whether a write to this server's disk has failed, so that it can neither vote nor acknowledge entries. */
+  /** Whether a write to this server's disk has failed, so that for now it can neither vote nor acknowledge entries. */
   hasDiskFailed(): boolean {
     return this.log.hasDiskFailed();
   }
--- a/src/consensus/logStore.ts
+++ b/src/consensus/logStore.ts
@@ -1,6 +1,6 @@
 import { Fault, Result } from "../common/fault";
 import { ControlState } from "../controlState/controlState";
-import { Task } from "../runtime/csp";
+import { Chan, Csp, Task } from "../runtime/csp";
 import { CheckpointedLog } from "../runtime/checkpointedLog";
 import { LogRecord, PersistentState, StorageCodec } from "./storageCodec";
 
@@ -29,16 +29,15 @@
 
 /**
  * The persistent state of one server on disk: a snapshot and the records written after it. A write that returns ok has
- * been synced. After a failed write, every further write returns the fault "disk".
+ * been synced. After a failed write, every further write returns the fault "disk" until `rewrite` succeeds.
  */
 export class LogStore {
-  /** @param onFailure is called when a write fails; not for writes that are rejected because of an earlier failure */
-  constructor(
-    private readonly storage: CheckpointedLog,
-    private readonly onFailure: (fault: Fault) => void = () => undefined,
-  ) {}
+  /** Receives the fault of each write that fails, but not of those that are rejected because of an earlier one. */
+  readonly failures: Chan<Fault> = Csp.sliding(1);
 
-  /** Whether an earlier write failed. No further writes are made then. */
+  constructor(private readonly storage: CheckpointedLog) {}
+
+  /** Whether an earlier write failed. No further writes are made then, except by `rewrite`. */
   get hasFailed(): boolean {
     return this.storage.hasFailed;
   }
@@ -65,10 +64,15 @@
     return this.reportFailure(() => this.storage.checkpoint(StorageCodec.encodeState(state)));
   }
 
+  /** Writes the state to new files after a failed write, and accepts writes again if that succeeds. */
+  rewrite(state: PersistentState): Task<Result<true>> {
+    return this.storage.rewrite(StorageCodec.encodeState(state));
+  }
+
   private *reportFailure(write: () => Task<Result<true>>): Task<Result<true>> {
     const hadFailed = this.hasFailed;
     const written = yield* write();
-    if (!written.ok && !hadFailed) this.onFailure(written.fault);
+    if (!written.ok && !hadFailed) Csp.offer(this.failures, written.fault);
     return written;
   }
 }
--- a/src/consensus/logWriter.ts
+++ b/src/consensus/logWriter.ts
@@ -18,6 +18,7 @@
     const { env, log } = this.replica;
     for (;;) {
       yield* EnvironmentTools.takeWithin(env, log.writeRequests, CHECK_PERIOD_MS);
+      if (log.hasDiskFailed()) continue;
       yield* Csp.take(log.diskLock);
       try {
         yield* this.writeAndCompact();
--- a/src/consensus/replicatedLog.ts
+++ b/src/consensus/replicatedLog.ts
@@ -63,10 +63,14 @@
     this.precedingTerm = state.snapshotTerm;
   }
 
-  /** Whether an earlier write failed. No further writes are made then. */
+  /** Whether an earlier write failed. No further writes are made then, except by `rewrite`. */
   hasDiskFailed(): boolean {
     return this.store.hasFailed;
   }
+  /** Receives the fault of each write that fails, but not of those that are rejected because of an earlier one. */
+  get diskFailures(): Chan<Fault> {
+    return this.store.failures;
+  }
 
   // ---------- reading ----------
 
@@ -196,6 +200,24 @@
     return written;
   }
 
+  /**
+   * Writes all that this server has acknowledged, and what it has applied, to new files after a failed write; the disk
+   * is in use again if that succeeds. Memory has all of it, because each change is made there after its write. Entries
+   * that were never synced nor committed are left to the log writer. The caller must hold the disk lock. Fault: disk.
+   */
+  *rewrite(commitIndex: number): Task<Result<true>> {
+    const lastIndex = Math.max(this.syncedIndex, commitIndex);
+    const { currentTerm, votedFor, snapshotIndex, snapshotTerm, snapshotState } = this;
+    const entries = this.entries.filter((entry) => entry.index > snapshotIndex && entry.index <= lastIndex);
+    const state = { currentTerm, votedFor, snapshotIndex, snapshotTerm, snapshotState, entries };
+    const written = yield* this.store.rewrite(state);
+    if (!written.ok) return written;
+    this.syncedIndex = lastIndex;
+    this.unsyncedEntries = this.entries.filter((entry) => entry.index > lastIndex);
+    Csp.offer(this.writeRequests, true);
+    return written;
+  }
+
   // ---------- compaction ----------
 
   /**
--- a/src/consensus/voteHandler.ts
+++ b/src/consensus/voteHandler.ts
@@ -20,12 +20,12 @@
     private readonly election: Election,
   ) {}
 
-  /** Responds whether this server would vote for the candidate, without changing any state. Fault: refused. */
+  /** Responds whether this server could vote for the candidate, without changing any state. Fault: refused. */
   *onPreVote(body: RequestVoteRequestOnWire): Task<Result<RequestVoteResponseOnWire>> {
     const misdirected = this.replica.rejectMisdirected(body.to, "preVote");
     if (misdirected) return misdirected;
     const request = this.decode(body, "preVote");
-    if (!request) return this.response(false);
+    if (!request || this.replica.log.hasDiskFailed()) return this.response(false);
     return this.response(
       this.leaseAllowsVote(request) && request.term > this.replica.log.currentTerm && this.isUpToDate(request),
     );
@@ -41,6 +41,7 @@
     if (!request || !log.isBootstrapped()) return this.response(false);
     yield* Csp.take(log.diskLock);
     try {
+      if (log.hasDiskFailed()) return Fault.fail("disk", "vote", replica.selfId, "disk failed");
       if (request.term < log.currentTerm || !this.leaseAllowsVote(request)) return this.response(false);
       if (request.term > log.currentTerm && !(yield* replica.stepDown(request.term, true)))
         return Fault.fail("disk", "vote", replica.selfId, "term not saved");
--- a/src/control/groupBootstrap.ts
+++ b/src/control/groupBootstrap.ts
@@ -159,10 +159,7 @@
     const group = EnvironmentTools.randomId(this.env, "group");
     const voters = ids.slice(0, this.voterCount);
     const own = yield* this.group.bootstrap(group, voters);
-    if (!own.ok) {
-      this.env.log(1404, { fault: own.fault });
-      return;
-    }
+    if (!own.ok) return;
     this.env.log(1301, { group, voters });
     const request: BootstrapRequest = { group, voters };
     for (const address of this.founders)
--- a/src/runtime/checkpointedLog.ts
+++ b/src/runtime/checkpointedLog.ts
@@ -61,7 +61,7 @@
   private hasLogFile = false;
   /** The size of the current log file in bytes. */
   private logEnd = 0;
-  /** Whether a write has failed. The content on disk is then uncertain, so nothing more is written. */
+  /** Whether a write has failed. The content on disk is then uncertain, so only `rewrite` writes more. */
   hasFailed = false;
   /** The number of appends, each of which syncs the file. */
   syncCount = 0;
@@ -125,7 +125,7 @@
     return Fault.ok({ state: base.state, records });
   }
 
-  /** Tests whether the disk accepts writes. */
+  /** Tests whether the disk accepts writes and syncs. */
   probe(): Task<Result<true>> {
     return this.env.disk.write(`${this.folder}/probe`, Buffer.from("probe"));
   }
@@ -154,16 +154,37 @@
   /** Writes a checkpoint of the state and starts the next log. Fault: "disk". */
   *checkpoint(state: unknown): Task<Result<true>> {
     if (this.hasFailed) return Fault.fail("disk", "rotate", this.env.name, "an earlier write failed");
+    const started = yield* this.startGeneration(state);
+    if (!started.ok) this.hasFailed = true;
+    return started;
+  }
+
+  /**
+   * Takes the disk into use again after a failed write. The state is written to new files for both checkpoints, because
+   * the files of a failed write have unknown content; the logs before them are removed. Fault: "disk"; then nothing is
+   * accepted but another rewrite.
+   *
+   * @param state all that must not be lost, which the caller has in memory or has read and checked
+   */
+  *rewrite(state: unknown): Task<Result<true>> {
+    const probed = yield* this.probe();
+    if (!probed.ok) return probed;
+    for (let written = 0; written < CHECKPOINT_FILES.length; written += 1) {
+      const started = yield* this.startGeneration(state);
+      if (!started.ok) return started;
+    }
+    this.hasFailed = false;
+    return Fault.ok(true as const);
+  }
+
+  private *startGeneration(state: unknown): Task<Result<true>> {
     const next = this.generation + 1;
     const body = Buffer.from(JSON.stringify(state), "utf8");
     const frame = encodeFrame(MAGICS[this.format].checkpoint, next, body);
     const written = yield* this.env.disk.write(this.checkpointFile(next), frame);
     this.env.faultPoint(13);
     const started = written.ok ? yield* this.env.disk.write(this.logFile(next), Buffer.alloc(0)) : written;
-    if (!started.ok) {
-      this.hasFailed = true;
-      return started;
-    }
+    if (!started.ok) return started;
     const obsolete = this.generation - 1;
     this.logBytes = 0;
     this.logEnd = 0;
--- a/src/runtime/durableDisk.ts
+++ b/src/runtime/durableDisk.ts
@@ -46,7 +46,11 @@
     this.writing.add(temporary);
     try {
       const replaced = yield* this.replace(file, temporary, data);
-      if (!replaced.ok) this.prepared.clear(); // A prepared folder may have been removed.
+      if (!replaced.ok) {
+        this.prepared.clear(); // A prepared folder may have been removed.
+        // It takes up room, and after a failed sync a later one proves nothing about its content.
+        yield* this.steps.remove(temporary);
+      }
       return replaced;
     } finally {
       this.writing.delete(temporary);
--- a/test/voterDiskRecovery.test.ts
+++ b/test/voterDiskRecovery.test.ts
@@ -27,8 +27,8 @@
   return (await fleet.send("PUT", "/v1/manifest", configuration(version), headers)).status === 200;
 }
 const readBack = async (fleet: ControlFleet): Promise<number | undefined> => {
-  const { status, body } = await fleet.send("GET", "/v1/manifest");
-  return status === 200 ? body.version : undefined;
+  const response = await fleet.send("GET", "/v1/manifest");
+  return response.status === 200 ? (response.body as { version: number }).version : undefined;
 };
 /** Names of the running voters, by the leader's log; the leader's is the first. */
 function voterNames(fleet: ControlFleet): string[] {
