Take a store's disk into use again after a failed segment, and after a recovery that ended in an exception

- A segment that could not be written was written again at once, without a pause, and logged each time, until an append to the log failed too: now the replica counts as failed and recovers like after a failed append.
- An exception in the recovery left it marked as under way for ever, and the new log as sound over an empty state.
- A disk that came back without entries that the replica had acknowledged was taken into use; it now stays out.

--- a/src/common/constants/shards.ts
+++ b/src/common/constants/shards.ts
@@ -63,8 +63,8 @@
   digestRanges: 16,
   /** Free space below which nothing new is accepted, bytes; what was accepted can finish. */
   diskReserveBytes: 67_108_864,
-  /** Pause between attempts to use a failed disk, s; well within the twelve seconds after it was freed. */
-  diskRetrySeconds: 3,
+  /** Pause between attempts to use a failed disk, s; a machine counts as lost for several times as long. */
+  diskRetrySeconds: 1,
   /** Maximum number of entries in one catch-up message. */
   catchUpEntriesMax: 200,
   /** Pause between two comparisons of the replicas of a shard, ms. */
--- a/src/runtime/checkpointedLog.ts
+++ b/src/runtime/checkpointedLog.ts
@@ -62,7 +62,10 @@
   /** The size of the current log file in bytes. */
   private logEnd = 0;
   /** Whether a write has failed. The content on disk is then uncertain, so only `rewrite` writes more. */
-  hasFailed = false;
+  get hasFailed(): boolean {
+    return this.failed;
+  }
+  private failed = false;
   /** The number of appends, each of which syncs the file. */
   syncCount = 0;
   /** The number of bytes that this process has appended since the last checkpoint. */
@@ -125,6 +128,11 @@
     return Fault.ok({ state: base.state, records });
   }
 
+  /** Rejects further writes until a rewrite, because a file that belongs to the log could not be written. */
+  markFailed(): void {
+    this.failed = true;
+  }
+
   /** Tests whether the disk accepts writes and syncs. */
   probe(): Task<Result<true>> {
     return this.env.disk.write(`${this.folder}/probe`, Buffer.from("probe"));
@@ -146,7 +154,7 @@
     this.logBytes += frames.length;
     this.logEnd += frames.length;
     this.syncCount += 1;
-    if (!written.ok) this.hasFailed = true;
+    if (!written.ok) this.failed = true;
     this.env.faultPoint(12);
     return written;
   }
@@ -155,7 +163,7 @@
   *checkpoint(state: unknown): Task<Result<true>> {
     if (this.hasFailed) return Fault.fail("disk", "rotate", this.env.name, "an earlier write failed");
     const started = yield* this.startGeneration(state);
-    if (!started.ok) this.hasFailed = true;
+    if (!started.ok) this.failed = true;
     return started;
   }
 
@@ -173,7 +181,7 @@
       const started = yield* this.startGeneration(state);
       if (!started.ok) return started;
     }
-    this.hasFailed = false;
+    this.failed = false;
     return Fault.ok(true as const);
   }
 
--- a/src/shard/replica/replicaStorage.ts
+++ b/src/shard/replica/replicaStorage.ts
@@ -1,6 +1,7 @@
 import { Constants } from "../../common/constants";
 import { Fault, Result } from "../../common/fault";
 import type { Task } from "../../runtime/csp";
+import { CheckpointedLog } from "../../runtime/checkpointedLog";
 import { EnvironmentTools } from "../../runtime/env";
 import { ShardData } from "../state/shardData";
 import type { Leadership } from "./leadership";
@@ -16,6 +17,8 @@
  */
 export class ReplicaStorage {
   private isRetrying = false;
+  /** Position of the last entry that was acknowledged before the disk failed; 0 while it has not. */
+  private acknowledgedSeq = 0;
 
   constructor(
     private readonly state: ReplicaState,
@@ -124,6 +127,8 @@
   private diskFailed(fault: Fault): void {
     const { env, shard } = this.state.context;
     env.log(1404, { shard, fault });
+    // A file beside the log may have failed: only a recovery from disk makes the replica whole again.
+    this.state.diskLog.markFailed();
     this.leadership.stop("disk failed");
   }
 
@@ -134,26 +139,37 @@
   *retryDisk(): Task<void> {
     if (!this.state.isDiskBroken || this.isRetrying) return;
     this.isRetrying = true;
-    yield* this.state.withLock(() => this.recoverFromFailure());
-    this.isRetrying = false;
+    try {
+      yield* this.state.withLock(() => this.recoverFromFailure());
+    } finally {
+      this.isRetrying = false;
+    }
   }
   private *recoverFromFailure(): Task<void> {
     const { state } = this;
     const { env, shard } = state.context;
     const diskLog = state.newDiskLog();
+    diskLog.markFailed();
     const probed = yield* diskLog.probe();
     if (!probed.ok) return;
+    this.acknowledgedSeq = Math.max(this.acknowledgedSeq, state.log.lastSeq);
     state.diskLog = diskLog;
     state.reset();
     const recovered = yield* this.recover();
-    const written = recovered.ok && state.exists ? yield* diskLog.checkpoint(this.snapshot()) : recovered;
-    if (!written.ok) {
-      diskLog.hasFailed = true;
+    const isComplete = recovered.ok && state.log.lastSeq >= this.acknowledgedSeq;
+    if (!isComplete || !(yield* this.takeIntoUse(diskLog))) {
       state.role = "out";
       return;
     }
+    this.acknowledgedSeq = 0;
     env.log(1414, { shard, seq: state.log.lastSeq });
   }
+  /** Writes all that was read to new files. A replica without content has nothing to write, and must not get any. */
+  private *takeIntoUse(diskLog: CheckpointedLog): Task<boolean> {
+    const { state } = this;
+    if (!state.exists) state.diskLog = state.newDiskLog();
+    return !state.exists || (yield* diskLog.rewrite(this.snapshot())).ok;
+  }
 
   /** Writes pending segments in the background. Until they are written, snapshots contain their objects. */
   private *writeSegments(): Task<void> {
