Replace a control voter whose disk takes no writes for two seconds by a standby

What callers would see: with a standby at hand, a voter whose disk never heals kept its place for ever, and the next lost machine took the majority away. The leader took each voter that is alive for a sound one.

The leader now notes when a follower reports that its disk failed, until it acknowledges again. After unwritableVoterDelayMs it counts as unavailable like a dead one: replaced where a caught-up standby waits, kept otherwise. Caught up is only who acknowledged lately, so no replacement leaves fewer that can write.

--- a/src/common/constants/control.ts
+++ b/src/common/constants/control.ts
@@ -47,6 +47,8 @@
   storeDiscoveryAfterElectionMs: 4000,
   /** Delay before a dead voter is replaced, ms: within the time allowed for one loss, and before the next may occur. */
   deadVoterDelayMs: 200,
+  /** Delay before a voter whose disk fails all writes is replaced by a standby, ms; shorter faults end by themselves. */
+  unwritableVoterDelayMs: 2000,
   /** Delay before a voter that left is replaced, ms. Most voters restart on the same disk before. */
   leftVoterDelayMs: 1500,
   /**
--- a/src/consensus/consensusGroup.ts
+++ b/src/consensus/consensusGroup.ts
@@ -163,6 +163,11 @@
   writableVoters(): string[] {
     return this.lease.votersInContactWithin(Constants.electionTimeoutMinMs);
   }
+  /** Time for which a server has reported to this leader that its disk failed, in ms; 0 if it has not. */
+  diskFailedMs(id: string): number {
+    const failedAt = this.replica.followers.get(id)?.diskFailedAt ?? Infinity;
+    return Math.max(0, this.env.monotonicMs() - failedAt);
+  }
   /** Number of voters that must be able to write, so that entries are committed. */
   majority(): number {
     return this.replica.majority();
--- a/src/consensus/followerProgress.ts
+++ b/src/consensus/followerProgress.ts
@@ -14,6 +14,11 @@
    * first.
    */
   lastContactAt: number;
+  /**
+   * Time at which the follower first reported that its disk had failed, on the leader's monotonic clock, in ms; Infinity
+   * if it has acknowledged a request since.
+   */
+  diskFailedAt: number;
   /** Wakes the task that replicates to this follower. */
   wakeUp: Chan<true>;
 }
@@ -25,5 +30,6 @@
   nextIndex: lastLogIndex + 1,
   matchIndex: 0,
   lastContactAt: -Infinity,
+  diskFailedAt: Infinity,
   wakeUp: Csp.sliding(1),
 });
--- a/src/consensus/followerReplicator.ts
+++ b/src/consensus/followerReplicator.ts
@@ -57,8 +57,11 @@
       if (response.ok) {
         if (response.value.term > this.term) return void (yield* replica.stepDown(response.value.term, false));
         follower.lastContactAt = Math.max(follower.lastContactAt, sentAt);
+        follower.diskFailedAt = Infinity;
         this.updateProgress(follower, response.value);
         if (follower.nextIndex <= this.lastIndexToSend()) continue;
+      } else if (response.fault.tag === "disk") {
+        follower.diskFailedAt = Math.min(follower.diskFailedAt, replica.env.monotonicMs());
       }
       const pauseMs = response.ok ? Constants.heartbeatMs : Constants.heartbeatMs * RETRY_PAUSE_SHARE;
       yield* EnvironmentTools.takeWithin(replica.env, follower.wakeUp, pauseMs);
--- a/src/control/voterManager.ts
+++ b/src/control/voterManager.ts
@@ -72,7 +72,7 @@
     return this.node.membership.alive("control").some((other) => other.address === member.address);
   }
 
-  /** Returns whether the voter has been dead or gone for so long that another should replace it. */
+  /** Returns whether the voter has been dead, gone or unable to write for so long that another should replace it. */
   private isUnavailable(id: string): boolean {
     if (id === this.node.self.id) return false;
     const member = this.node.membership.find(id);
@@ -81,7 +81,7 @@
     switch (member.state) {
       case "alive":
       case "suspect":
-        return false;
+        return this.group.diskFailedMs(id) > Constants.unwritableVoterDelayMs;
       case "dead":
         return stateAgeMs > Constants.deadVoterDelayMs;
       case "left":
--- a/src/control/voterSelection.ts
+++ b/src/control/voterSelection.ts
@@ -10,7 +10,7 @@
   latest: readonly string[];
   /** Voters that have certainly lost their disk, because another node uses their address. */
   diskLost: readonly string[];
-  /** Voters that have been dead or gone for so long that others should replace them. */
+  /** Voters that have been dead, gone or unable to write for so long that others should replace them. */
   unavailable: readonly string[];
   /** Live nodes that hold nearly the whole log and are not voters, best first. */
   standbys: readonly string[];
@@ -36,7 +36,7 @@
    * Returns the next voters, or undefined if they should stay as they are. A lost voter is removed before its successor
    * is added: the removal of a voter that does not respond never makes a majority harder to reach, whereas an
    * additional voter can, if the successor is lost too. A voter without its disk is removed at once. A voter that
-   * merely does not respond stays until a standby can replace it, since its disk may still be needed.
+   * merely does not respond, or cannot write, stays until a standby can replace it, since its disk may still be needed.
    */
   next(situation: VoterSituation): string[] | undefined {
     if (VoterSelection.isPending(situation)) return undefined;
