--- a/src/consensus/election.ts
+++ b/src/consensus/election.ts
@@ -75,7 +75,15 @@
     const { replica } = this;
     const { log } = replica;
     const isDue = replica.env.monotonicMs() >= replica.electionDueAt;
-    return isDue && log.isBootstrapped() && replica.isVoter() && !log.hasDiskFailed();
+    return isDue && log.isBootstrapped() && this.mayLead() && !log.hasDiskFailed();
+  }
+  /**
+   * A voter whose own removal is not committed may have the longest log of all, so that no other voter can be elected
+   * (Ongaro's thesis, section 4.2.2).
+   */
+  private mayLead(): boolean {
+    const { replica } = this;
+    return replica.isVoter() || replica.state.voters.includes(replica.selfId);
   }
   private *startElection(): Task<void> {
     const { replica } = this;
--- a/test/membershipChange.test.ts
+++ b/test/membershipChange.test.ts
@@ -131,3 +131,23 @@
     control.end();
   }
 });
+
+// Guards against a group without a leader, whose longest log ends with the uncommitted removal of its own server.
+test("a leader whose own removal was never committed can be elected, as its vote is needed", async () => {
+  for (const seed of [1, 2, 3]) {
+    const control = new SimulatedControlGroup(3, seed);
+    await control.boot();
+    const leader = control.leader()!;
+    const staying = control.members.find((voter) => voter !== leader)!;
+    const removed = await control.propose([{ tag: "voters", voters: [leader.id, staying.id] }], 2000);
+    expect(removed.acceptedCount).toBe(1);
+    isolate(control, [leader.id]);
+    const proposed = await control.propose([{ tag: "voters", voters: [staying.id] }], 500);
+    expect(proposed.acceptedCount).toBe(0);
+    await control.world.run(3000);
+    control.world.heal();
+    const newLeader = await leaderAmong(control, [leader, staying], 10_000);
+    expect([seed, newLeader !== undefined]).toEqual([seed, true]);
+    control.end();
+  }
+});
