--- a/src/model/actionRunner.ts
+++ b/src/model/actionRunner.ts
@@ -155,6 +155,8 @@
         return;
       case "stallDisk":
         return group.stallDisk(this.machineAt(action.machine), action.forMs);
+      case "failDisk":
+        return group.failDisk(this.machineAt(action.machine), action.how, action.forMs);
       case "stepClock":
         this.machineAt(action.machine).incarnation.process.skewMs += action.byMs;
     }
--- a/src/model/actions.ts
+++ b/src/model/actions.ts
@@ -37,6 +37,12 @@
   /** Drops, duplicates and delays single messages at random. */
   | { tag: "network"; dropPercent: number; duplicatePercent: number; delayPercent: number; delayMs: number };
 
+/**
+ * How a disk fails: no write succeeds for lack of room, each operation fails, or each sync fails after a write that
+ * reached the file.
+ */
+export type DiskFault = "full" | "failing" | "syncFailing";
+
 /** Faults of processes, disks and clocks. */
 export type MachineAction =
   | { tag: "freeze"; machine: number; forMs: number }
@@ -49,6 +55,8 @@
   | { tag: "wipe"; machine: number; backInMs: number }
   /** Makes every sync of a disk take `forMs`, for `forMs`. */
   | { tag: "stallDisk"; machine: number; forMs: number }
+  /** Makes a disk reject writes for `forMs`; see DiskFault. */
+  | { tag: "failDisk"; machine: number; how: DiskFault; forMs: number }
   /** Steps the wall clock. */
   | { tag: "stepClock"; machine: number; byMs: number };
 
--- a/src/model/campaign.ts
+++ b/src/model/campaign.ts
@@ -26,6 +26,8 @@
   firstSeed: number;
   walks: number;
   voters: 3 | 5;
+  /** Whether disks reject writes for a while. */
+  diskFaults?: boolean;
   /** Faults injected into the code under test, by the tests of the invariants. */
   faults?: FaultInjection;
   /** Maximum number of attempts to shorten a failing walk; 400 if absent. */
@@ -76,7 +78,7 @@
     const attemptLimit = 1 + (options.shrinkLimit ?? DEFAULT_SHRINK_LIMIT);
     let attempts = 0;
     let violation: unknown;
-    const walks = new ActionGenerator(fc, voters + SPARE_MACHINES).walk();
+    const walks = new ActionGenerator(fc, voters + SPARE_MACHINES, options.diskFaults).walk();
     const property = fc.asyncProperty(walks, async (actions) => {
       attempts += 1;
       if (attempts > attemptLimit) return;
--- a/test/disk.test.ts
+++ b/test/disk.test.ts
@@ -129,3 +129,24 @@
   const { outcome } = await openDamaged("log-1", (data) => Buffer.concat([data, Buffer.alloc(100)]));
   expect(outcome).toEqual({ state: { upTo: 1 }, records: [2] });
 });
+
+// Guards against a process that counts on what an earlier one wrote, though the sync of that had failed: the operating
+// system shows such content to readers, may report later syncs as successful, and need not have written it.
+test("what a start reads after a failed sync is durable: written anew, not only synced again", async () => {
+  for (let seed = 1; seed <= 20; seed += 1) {
+    const world = new SimWorld(seed);
+    const disk = new SimDisk(world);
+    await withLog(world, disk, function* (log) {
+      yield* log.open();
+      yield* log.append([1]);
+      disk.syncFailing = true;
+      yield* log.append([2]);
+    });
+    world.kill([...world.processes.keys()].at(-1)!, false);
+    disk.syncFailing = false;
+    const read = await withLog(world, disk, readContent);
+    world.kill([...world.processes.keys()].at(-1)!, true);
+    expect(read).toMatchObject({ records: [1, 2] });
+    expect([seed, await withLog(world, disk, readContent)]).toEqual([seed, read]);
+  }
+});
