--- a/test/model.test.ts
+++ b/test/model.test.ts
@@ -14,6 +14,19 @@
   });
 });
 
+// Guards against a voter that forgets what it acknowledged, votes twice, or is lost, after its disk rejected writes.
+describe("random walks over the control group in which disks reject writes keep every invariant", () => {
+  test.each([
+    [3, 60],
+    [5, 30],
+  ] as [3 | 5, number][])("with %i voters, in %i walks", async (voters, walks) => {
+    const report = await ModelCampaign.run({ firstSeed: 1, walks, voters, diskFaults: true });
+    expect(report.failures).toEqual([]);
+    expect(report.walks).toBe(walks);
+    expect(report.totals.acknowledged).toBeGreaterThan(2 * walks);
+  });
+});
+
 describe("the same seed", () => {
   test("gives the same log and actions of a walk", async () => {
     const actions: Action[] = [
--- a/test/modelFaults.test.ts
+++ b/test/modelFaults.test.ts
@@ -9,6 +9,7 @@
 import { FaultInjection } from "../src/model/machine";
 import { InvariantName } from "../src/model/violation";
 import { RequestOf, ResponseOf, TypedMethod, UntypedHandler } from "../src/rpc/methods";
+import { CheckpointedLog } from "../src/runtime/checkpointedLog";
 import { Csp, Scope, Task } from "../src/runtime/csp";
 import { Environment } from "../src/runtime/env";
 
@@ -69,12 +70,14 @@
 const originalApply = ControlStateMachine.apply;
 const originalRejectionReason = MembershipChange.rejectionReason;
 const originalHasLeaderLease = ConsensusGroup.prototype.hasLeaderLease;
+const originalRewrite = CheckpointedLog.prototype.rewrite;
 const originalLeaseMs = Constants.controlLeaseMs;
 const setLeaseMs = (ms: number): void => void Object.assign(Constants, { controlLeaseMs: ms });
 afterEach(() => {
   ControlStateMachine.apply = originalApply;
   MembershipChange.rejectionReason = originalRejectionReason;
   ConsensusGroup.prototype.hasLeaderLease = originalHasLeaderLease;
+  CheckpointedLog.prototype.rewrite = originalRewrite;
   setLeaseMs(originalLeaseMs);
 });
 /** Runs walks until one fails. Returns the name of the violated invariant. */
@@ -82,9 +85,10 @@
   faults: FaultInjection,
   walks: number,
   prepare: () => void = () => undefined,
+  diskFaults = false,
 ): Promise<string> {
   prepare();
-  const options = { firstSeed: 1, walks, voters: 3 as const, faults, shrinkLimit: 0, stopAtFailure: true };
+  const options = { firstSeed: 1, walks, voters: 3 as const, diskFaults, faults, shrinkLimit: 0, stopAtFailure: true };
   const report = await ModelCampaign.run(options);
   process.stdout.write(
     `    ${report.walks} walks: ${report.failures[0]?.violation.slice(0, 150) ?? "nothing found"}\n`,
@@ -283,3 +287,61 @@
     expect(await brokenInvariant(faults, 4 * MAX_WALKS)).toEqual(anyOf("outcome-repeatable"));
   });
 });
+
+describe("the invariants detect a fault of the handling of failed writes:", () => {
+  test("an acknowledgement of entries that are in memory only", async () => {
+    const env = (original: Environment): Environment => ({
+      ...original,
+      disk: {
+        ...original.disk,
+        *append(path, data) {
+          yield* original.disk.append(path, data);
+          return Fault.ok(true as const);
+        },
+      },
+    });
+    expect(await brokenInvariant({ env }, 4 * MAX_WALKS, undefined, true)).toEqual(
+      anyOf(
+        "election-safety",
+        "leader-completeness",
+        "state-machine-safety",
+        "log-matching",
+        "acknowledged-durable",
+        "converged-after-heal",
+        "no-task-error",
+      ),
+    );
+  });
+
+  test("a vote or an acknowledgement before all is written anew", async () => {
+    const prepare = (): void => {
+      CheckpointedLog.prototype.rewrite = function* (this: CheckpointedLog) {
+        const probed = yield* this.probe();
+        if (probed.ok) Object.assign(this, { failed: false });
+        return probed;
+      };
+    };
+    expect(await brokenInvariant({}, 10 * MAX_WALKS, prepare, true)).toEqual(
+      anyOf(
+        "election-safety",
+        "leader-completeness",
+        "state-machine-safety",
+        "log-matching",
+        "acknowledged-durable",
+        "converged-after-heal",
+        "no-task-error",
+      ),
+    );
+  });
+
+  test("a disk that is never taken into use again", async () => {
+    const prepare = (): void => {
+      CheckpointedLog.prototype.rewrite = function* () {
+        return Fault.fail("disk", "rewrite", "planted", "never");
+      };
+    };
+    expect(await brokenInvariant({}, MAX_WALKS, prepare, true)).toEqual(
+      anyOf("leader-after-heal", "converged-after-heal"),
+    );
+  });
+});
