--- a/scripts/guardMutations/mutations.js
+++ b/scripts/guardMutations/mutations.js
@@ -61,6 +61,18 @@
       },
     ],
   },
+  {
+    name: "control-disk-taken-up-again",
+    scenario: "control-disks-in-turn",
+    expectedInvariants: ["exercised"],
+    edits: [
+      {
+        file: "consensus/diskRecovery.js",
+        find: "yield* log.rewrite(replica.commitIndex)",
+        replacement: "{ ok: false }",
+      },
+    ],
+  },
   {
     name: "refusal-in-time",
     scenario: "overload",
--- a/src/simulation/scenarios/scenarios.ts
+++ b/src/simulation/scenarios/scenarios.ts
@@ -7,6 +7,7 @@
 import { responseScenarios } from "./responseScenarios";
 import { endpointScenarios } from "./endpointScenarios";
 import { faultPoints, Scenario } from "./scenario";
+import { writeFaultScenarios } from "./writeFaultScenarios";
 
 export type { Scenario } from "./scenario";
 
@@ -20,6 +21,7 @@
   ...clockScenarios,
   ...combinedScenarios,
   ...responseScenarios,
+  ...writeFaultScenarios,
 ];
 
 /** All scenarios, with their numbers. */
