--- a/scripts/days/dayShapes.js
+++ b/scripts/days/dayShapes.js
@@ -1,5 +1,5 @@
 const { calls, clocks, disks } = require("./shapes/resourceShapes");
-const { acks, power, second, storm } = require("./shapes/lossShapes");
+const { acks, power, second, storm, writes } = require("./shapes/lossShapes");
 const { cut, orders } = require("./shapes/configurationShapes");
 const { long, mix, places } = require("./shapes/generalShapes");
 
@@ -15,6 +15,6 @@
  * The shapes by name. A seed selects a shape by position, so new shapes are added at the end.
  * @type {Record<string, DayShape>}
  */
-const DAY_SHAPES = { mix, cut, orders, second, long, acks, disks, clocks, power, calls, storm, places };
+const DAY_SHAPES = { mix, cut, orders, second, long, acks, disks, clocks, power, calls, storm, places, writes };
 
 module.exports = { DAY_SHAPES };
--- a/scripts/days/shapes/lossShapes.js
+++ b/scripts/days/shapes/lossShapes.js
@@ -95,4 +95,21 @@
   },
 };
 
-module.exports = { second, acks, power, storm };
+const writes = {
+  description: "full disks of core and store machines in turn, changes meanwhile, and then the loss of other disks",
+  lengthSeconds: 44,
+  addEntries(schedule) {
+    const { random } = schedule;
+    let at = random.between(2.5, 4);
+    for (let full = random.integer(1, 2); full > 0; full -= 1) {
+      const seconds = random.between(3, 7);
+      schedule.add("disk_full", at, { on: random.chance(0.8) ? "core" : "store", count: 1, for_s: seconds });
+      // A machine counts as lost for some seconds after its trouble.
+      at += seconds + random.between(7, 9);
+    }
+    schedule.add("after_ack_wipe", at, { on: "core", count: 1 });
+    schedule.addConfigChanges(random.between(0.8, 2), 36);
+  },
+};
+
+module.exports = { second, acks, writes, power, storm };
