--- a/test/golden/rareEventRun.ts
+++ b/test/golden/rareEventRun.ts
@@ -11,7 +11,7 @@
 import type { DataFolders } from "./dataFolderRun";
 
 /** Numbers of the log events that the operators' documentation mentions and that the message run does not log. */
-export const rareEventNumbers = ["1006", "1205", "1206", "1309", "1408", "1410", "1501", "1604", "1605"];
+export const rareEventNumbers = ["1006", "1205", "1206", "1309", "1312", "1408", "1410", "1501", "1604", "1605"];
 /** Virtual time at which the recorded folders are opened. It is later than all times in them. */
 const OPENED_AFTER_MS = 15_000;
 /** A snapshot that is not needed, because the logs next to it are complete. */
@@ -111,6 +111,19 @@
   return lines;
 }
 
+/** Lets the disk of a control process reject writes, and take them again. */
+async function runWithFullControlDisk(): Promise<string[]> {
+  const golden = new GoldenFleet(47, { controls: 1, losses: 0 });
+  await golden.fleet.run(3000);
+  const disk = golden.fleet.disks.get("control-1")!;
+  disk.full = true;
+  await golden.call("PUT", "/v1/manifest", { body: goldenConfiguration, headers: { "if-match": '"0"' } });
+  disk.full = false;
+  await golden.fleet.run(3000);
+  golden.fleet.close();
+  return golden.logLines;
+}
+
 /** Returns the log lines of the rare events, from runs that produce them. */
 export async function recordRareEvents(folders: DataFolders): Promise<string[]> {
   const lines = [
@@ -120,6 +133,7 @@
     ...reportUnexpectedResponse(),
     ...(await runFailedFetch()),
     ...(await runWithoutConfirmation()),
+    ...(await runWithFullControlDisk()),
   ];
   return lines.filter((line) => rareEventNumbers.some((event) => line.includes(` PB${event} `)));
 }
--- a/test/voterDiskRecovery.test.ts
+++ b/test/voterDiskRecovery.test.ts
@@ -1,5 +1,6 @@
 import { Constants } from "../src/common/constants";
 import { SimDisk } from "../src/simulation/simDisk";
+import { SimFolder } from "../src/simulation/simFiles";
 import { ControlFleet } from "./controlFleet";
 
 // Guards against a control voter that is lost for the life of its process after one failed write, so that the losses that
@@ -14,11 +15,17 @@
 /** Time for a response on the way to the operator, ms. */
 const RESPONSE_MS = 100;
 
-/** A way in which writes fail: sets it on a disk, or ends it. */
+/** Removes the folder of the control log below the running process. */
+function removeLogFolder(disk: SimDisk): void {
+  const data = disk.find("data") as SimFolder;
+  for (const machine of data.names.values()) (machine as SimFolder).change({ tag: "removed", name: "group" });
+}
+/** Ways in which writes fail: sets one on a disk, or ends it. */
 const WRITE_FAULTS: Record<string, (disk: SimDisk, isOn: boolean) => void> = {
   "no space": (disk, isOn) => (disk.full = isOn),
   "input and output errors": (disk, isOn) => (disk.failing = isOn),
   "syncs that fail after their write": (disk, isOn) => (disk.syncFailing = isOn),
+  "a folder that vanished": (disk, isOn) => isOn && removeLogFolder(disk),
 };
 
 const configuration = (version: number): Record<string, unknown> => ({
