--- a/src/common/logEvents.ts
+++ b/src/common/logEvents.ts
@@ -28,6 +28,12 @@
     operatorAction: "repair the time synchronization; the node is unready until then",
   },
   1008: { level: "info", text: "clock skew is within its bound again", operatorAction: "none" },
+  1009: {
+    level: "warn",
+    text: "process ended with requests that have no whole response",
+    operatorAction:
+      "none after the grace period; before it, report it: ageMs tells how long before the end each was read, hasBegun whether its response had begun",
+  },
   1101: { level: "info", text: "member joined", operatorAction: "none" },
   1102: {
     level: "warn",
--- a/src/runtime/httpServer.ts
+++ b/src/runtime/httpServer.ts
@@ -6,6 +6,7 @@
 import { parseAddress, awaitCallback } from "./callbacks";
 import { HttpExchange, HttpLimits } from "./env";
 import { NodeLibs } from "./nodeLibs";
+import { CutRequest, UnfinishedRequests } from "./unfinishedRequests";
 
 type Handler = (exchange: HttpExchange) => Task<void>;
 /**
@@ -67,6 +68,7 @@
   private readonly connectionFramed = new Set<http.ServerResponse>();
   /** Responses that have been ended, and of which a part still waits for the caller to read. */
   private readonly unsent = new Set<http.ServerResponse>();
+  private readonly unfinished = new UnfinishedRequests();
   private appliedLimits: HttpLimits | undefined;
   /** The value of the Keep-Alive header; empty if connections are not kept. */
   private keepAliveHeader = "";
@@ -113,6 +115,10 @@
   get unsentCount(): number {
     return this.unsent.size;
   }
+  /** The requests that would be cut if the process ended now. */
+  cutNow(): CutRequest[] {
+    return this.unfinished.cutNow();
+  }
   /** Stops accepting connections and closes idle ones; each further response closes its connection. */
   stopServing(): void {
     this.isStopping = true;
@@ -176,6 +182,7 @@
     if (connection.isRejected) return;
     connection.pendingCount += 1;
     connection.newest = request;
+    this.unfinished.add(request, response);
     const disconnected = Csp.chan<true>(1);
     const exchange = this.makeExchange(request, response, disconnected);
     const onEnd = (): void => {
@@ -185,6 +192,7 @@
     response.on("close", () => {
       this.connectionFramed.delete(response);
       this.unsent.delete(response);
+      this.unfinished.delete(response);
       if (this.closesIdleOnceSent) this.closeIdleConnections();
       connection.pendingCount -= 1;
       connection.idleSince = performance.now();
--- a/src/runtime/nodeEnvironment.ts
+++ b/src/runtime/nodeEnvironment.ts
@@ -11,6 +11,14 @@
 import { HttpClient } from "./httpClient";
 import { HttpServer } from "./httpServer";
 
+/** Maximum number of cut requests that are logged one by one. */
+const CUT_REQUESTS_LOGGED = 20;
+
+function logCutRequests(servers: HttpServer[], log: Environment["log"]): void {
+  const requests = servers.flatMap((server) => server.cutNow());
+  if (requests.length > 0) log(1009, { count: requests.length, requests: requests.slice(0, CUT_REQUESTS_LOGGED) });
+}
+
 function makeLink(socket: net.Socket, remoteAddress: string): Link {
   const incoming = Csp.chan<Buffer>(64);
   const put = forwardToChannel(socket, incoming);
@@ -67,6 +75,7 @@
     const connectionEvents = new ConnectionEvents({ log, monotonicMs });
     const httpClient = new HttpClient(connectionEvents);
     scope.onStop(() => timers.forEach((handle) => clearTimeout(handle)));
+    scope.onStop(() => logCutRequests(servers, log));
     return {
       name,
       scope,
