Stop in phases: each request that a stopping process reads gets an answer

Cause: "no new requests" was decided at the listener and in the heads written later, not where a request is read. A kept connection whose head promised to keep it, a body whose last byte came late, and a connection that had carried nothing yet were read and admitted as ever; and 0.45 s passed between the last look at what was in flight and the end, in which requests were still read. The grace time was a constant whatever the settings say. Control and store never stopped reading at all.

A connection that was promised to be kept is closed a while after its last response. The close header of direct responses, which stood beside that of the server, is gone.

--- a/src/adapters/http.ts
+++ b/src/adapters/http.ts
@@ -19,6 +19,7 @@
   internal: 500,
 };
 const SERVICE_UNAVAILABLE = 503;
+const BAD_REQUEST = 400;
 const PAYLOAD_TOO_LARGE = 413;
 const METHOD_NOT_ALLOWED = 405;
 const PROBLEM_TYPE = "application/problem+json";
@@ -42,6 +43,11 @@
   return status === SERVICE_UNAVAILABLE ? { "retry-after": "1" } : {};
 }
 
+function statusOfBodyFault({ tag }: Fault): number {
+  if (tag === "invalid") return PAYLOAD_TOO_LARGE;
+  return tag === "busy" ? SERVICE_UNAVAILABLE : BAD_REQUEST;
+}
+
 /** Returns the captured groups of a path, decoded; undefined if their encoding is malformed. */
 function decodeParts(match: RegExpExecArray): string[] | undefined {
   try {
@@ -115,7 +121,7 @@
   *readJsonBody(exchange: HttpExchange, limitBytes: number): Task<JsonBody | undefined> {
     const read: Result<Buffer> = yield* exchange.body(limitBytes);
     if (!read.ok) {
-      Http.sendProblem(exchange, read.fault, read.fault.tag === "invalid" ? PAYLOAD_TOO_LARGE : 400);
+      Http.sendProblem(exchange, read.fault, statusOfBodyFault(read.fault));
       return undefined;
     }
     const text = read.value.toString("utf8");
--- a/src/common/constants/http.ts
+++ b/src/common/constants/http.ts
@@ -19,6 +19,11 @@
    * close.
    */
   idleCloseMarginMs: 1000,
+  /**
+   * Time for which a kept connection of a process that takes no more requests stays open after its last response, ms, so
+   * that a request in transit receives its rejection.
+   */
+  drainLingerMs: 300,
   /** Period of the check for slow headers, ms. */
   headerCheckPeriodMs: 500,
   /** Time for which a connection with a framing error stays open, ms, so that the caller receives the reason. */
--- a/src/common/constants/node.ts
+++ b/src/common/constants/node.ts
@@ -36,6 +36,10 @@
    * less than the two seconds in which a configuration must be in force.
    */
   contactTimeoutMs: 1500,
-  /** Time after SIGTERM for requests in flight, ms; one second less than the platform allows. */
-  shutdownGraceMs: 6800,
+  /** Time from SIGTERM to SIGKILL if the settings say nothing of it, ms. */
+  gracePeriodMs: 8000,
+  /** End of the grace period that is left for the last ledger notes and for leaving the cluster, ms. */
+  shutdownReserveMs: 1200,
+  /** Period in which a stopping process checks whether its work has ended, ms. */
+  shutdownCheckPeriodMs: 50,
 } as const;
--- a/src/common/settings.ts
+++ b/src/common/settings.ts
@@ -29,6 +29,8 @@
   name?: string;
   /** Machines that may be lost at once with their disks: 2 × losses + 1 voters, losses + 2 replicas of each shard. */
   losses?: number;
+  /** Time after SIGTERM at which the process is killed, ms. Default: `Constants.gracePeriodMs`. */
+  gracePeriodMs?: number;
   /** Lowest level that is logged. */
   log?: "debug" | "info" | "warn" | "error";
 }
@@ -51,6 +53,7 @@
     name: { type: "string", minLength: 1, maxLength: 120 },
     losses: { type: "integer", minimum: 0, maximum: 3 },
     founders: { type: "array", items: address, maxItems: 7, uniqueItems: true },
+    gracePeriodMs: { type: "number", exclusiveMinimum: 0 },
     log: { enum: ["debug", "info", "warn", "error"] },
   },
   allOf: [
--- a/src/ingress/directContext.ts
+++ b/src/ingress/directContext.ts
@@ -18,6 +18,6 @@
   readonly endpointSelector: EndpointSelector;
   readonly counters: IngressCounters;
   readonly notes: Pick<LedgerNotes, "add">;
-  readonly readiness: Pick<IngressReadiness, "stopping" | "rejectReason" | "clockReason">;
+  readonly readiness: Pick<IngressReadiness, "rejectReason" | "clockReason">;
   snapshot(): ClusterSnapshot;
 }
--- a/src/ingress/directRequestHandler.ts
+++ b/src/ingress/directRequestHandler.ts
@@ -32,6 +32,7 @@
   *serve(exchange: HttpExchange, submitJob?: BatchJobHandler): Task<void> {
     const { admission, env, id: member, readiness } = this.context;
     const arrivedAt = env.monotonicMs();
+    exchange.mayHaveRun = false;
     const rejectReason = readiness.rejectReason();
     if (rejectReason)
       return this.responses.reject(exchange, "accept", member, rejectReason, Constants.unreadyRetryAfterMs);
@@ -41,13 +42,19 @@
       return this.responses.fail(exchange, { tag: "notFound", step: "find binding", member, detail }, 404);
     }
     const body: Result<Buffer> = yield* exchange.body(admission.bodyLimitBytes());
-    if (!body.ok) return this.responses.fail(exchange, body.fault, body.fault.tag === "invalid" ? 413 : 400);
+    if (!body.ok) return this.rejectUnread(exchange, body.fault);
     if (match.route.kind === "item") return yield* this.serveJob(exchange, match, body.value, submitJob);
     const pending = this.read(exchange, match, body.value, arrivedAt);
     if (!pending.ok) return this.responses.fail(exchange, pending.fault, 400);
     yield* admission.countLive(match.name, () => this.forward(pending.value));
   }
 
+  private rejectUnread(exchange: HttpExchange, fault: Fault): void {
+    const { step, member, detail } = fault;
+    if (fault.tag === "busy") return this.responses.reject(exchange, step, member, detail, fault.retryAfterMs);
+    this.responses.fail(exchange, fault, fault.tag === "invalid" ? 413 : 400);
+  }
+
   private findRoute(exchange: HttpExchange): MatchedRoute | undefined {
     const control = this.context.snapshot().control;
     return control && RouteTable.of(control.manifest.doc).find(exchange.headers.host ?? "", exchange.path);
@@ -62,6 +69,7 @@
     const clockReason = this.context.readiness.clockReason();
     if (clockReason)
       return this.responses.reject(exchange, "accept", this.context.id, clockReason, Constants.unreadyRetryAfterMs);
+    exchange.mayHaveRun = submitJob !== undefined;
     if (submitJob) return yield* submitJob(exchange, match, body);
     const detail = "this binding takes lots only";
     this.responses.fail(exchange, { tag: "invalid", step: "accept", member: this.context.id, detail }, 400);
@@ -90,7 +98,7 @@
       const endpoint =
         leftMs > 0 && deliveries < maxAttempts ? yield* this.acquire(pending, exclude, leftMs) : undefined;
       if (!endpoint) return this.giveUp(pending, lastFault);
-      const attempt = new EndpointAttempt(this.context, this.responses, pending, endpoint);
+      const attempt = new EndpointAttempt(this.context, pending, endpoint);
       const outcome = yield* attempt.run(deliveries + 1 < maxAttempts);
       if (outcome.tag === "callerDisconnected") return;
       if (outcome.tag === "responded") return this.note(pending, `replied ${outcome.status} from ${endpoint.id}`);
--- a/src/ingress/directResponses.ts
+++ b/src/ingress/directResponses.ts
@@ -22,13 +22,8 @@
 
   /** Responds with a problem object. */
   fail(exchange: HttpExchange, fault: Fault, status: number, headers: Record<string, string> = {}): void {
-    const close = status === PAYLOAD_TOO_LARGE ? { connection: "close" } : this.closeHeader();
+    const close: Record<string, string> = status === PAYLOAD_TOO_LARGE ? { connection: "close" } : {};
     const problemHeaders = { "content-type": "application/problem+json", ...headers, ...close };
     exchange.send(status, problemHeaders, JSON.stringify(Http.problemOf(fault, status)));
   }
-
-  /** While the ingress is stopping, returns a header that closes the connection after the response. */
-  closeHeader(): Record<string, string> {
-    return this.context.readiness.stopping ? { connection: "close" } : {};
-  }
 }
--- a/src/ingress/endpointAttempt.ts
+++ b/src/ingress/endpointAttempt.ts
@@ -8,7 +8,6 @@
 import { Task } from "../runtime/csp";
 import { HttpRequest } from "../runtime/env";
 import type { DirectContext } from "./directContext";
-import { DirectResponses } from "./directResponses";
 import { PendingDirectRequest } from "./pendingDirectRequest";
 
 /** The outcome of one attempt at one endpoint. */
@@ -35,7 +34,6 @@
 export class EndpointAttempt {
   constructor(
     private readonly context: DirectContext,
-    private readonly responses: DirectResponses,
     private readonly pending: PendingDirectRequest,
     private readonly endpoint: Endpoint,
   ) {}
@@ -54,6 +52,7 @@
     // The endpoint should stop working on a request whose caller has disconnected.
     exchange.onDisconnect = () => cancellation.cancel?.();
     const request = { ...forwarded, remainingMs: leftMs };
+    exchange.mayHaveRun = true;
     const opened = yield* DirectHttp.open(env, headerNames, endpoint, request, headTimeoutMs, cancellation);
     if (!opened.ok) return this.openFailed(opened.fault);
     const outcome = yield* this.relay(opened.value, headTimeoutMs);
@@ -74,6 +73,7 @@
     // A missing connection or response is a stronger sign of an unhealthy endpoint than a single bad response.
     const decisive = !delivered && fault.tag !== "broken";
     admissionQueue.release(this.endpoint, notExecuted && delivered, decisive);
+    this.pending.exchange.mayHaveRun = this.pending.mayHaveRun || !notExecuted;
     return notExecuted ? { tag: "notExecuted", fault, delivered } : { tag: "failed", fault };
   }
 
@@ -98,7 +98,7 @@
     const mustNotReachCaller =
       responseOpen || impliesNotExecuted(opened.status) || (opened.status >= 500 && route.safe);
     if (mustNotReachCaller) return failed("read reply", this.endpoint, `replica replied ${opened.status}`);
-    const headers = { ...opened.headers, ...this.responses.closeHeader() };
+    const { headers } = opened;
     // An endpoint that crashes may close its connection in order too, so such a body isn't framed as complete.
     if (opened.response.framing === "connection") exchange.sendUntilClose(opened.status, headers, body.value);
     else exchange.send(opened.status, headers, body.value);
@@ -118,7 +118,7 @@
       }
       if (!received.ok) return { tag: "failed", fault: received.fault };
       if (!pending.responseOpen) {
-        exchange.startStream(opened.status, { ...opened.headers, ...this.responses.closeHeader() });
+        exchange.startStream(opened.status, opened.headers);
         pending.responseOpen = true;
       }
       if (received.value === undefined) {
--- a/src/ingress/inProcessAgent.ts
+++ b/src/ingress/inProcessAgent.ts
@@ -59,8 +59,6 @@
   }
 
   leaveCluster(): Task<void> {
-    return this.node.shutDown(function* () {
-      /* No tasks have to finish first. */
-    });
+    return this.node.leaveCluster();
   }
 }
--- a/src/ingress/ingressNode.ts
+++ b/src/ingress/ingressNode.ts
@@ -9,6 +9,7 @@
 import { CutResponses } from "../forwarding/cutResponses";
 import { HeaderNames, defaultHeaderNames } from "../forwarding/headerNames";
 import type { ClusterSnapshot } from "../node/clusterSnapshot";
+import { GracefulShutdown } from "../node/gracefulShutdown";
 import { Node } from "../node/node";
 import { AdmissionQueue } from "../routing/admissionQueue";
 import { EndpointSelector } from "../routing/endpointSelector";
@@ -32,8 +33,6 @@
 import { ShardLiveRequests } from "./shardLiveRequests";
 import { WarmUpRequests } from "./warmUpRequests";
 
-/** Period at which a stopping ingress checks for requests in flight, in ms. */
-const DRAIN_POLL_MS = 50;
 /** Additional time after the last flush interval for writing the last ledger notes, in ms. */
 const LAST_NOTES_MS = 100;
 
@@ -177,24 +176,18 @@
     this.readiness.warmedUp = true;
   }
 
-  /** Whether a request is handled, or the end of its response has not reached the caller's connection yet. */
-  private hasUnfinishedRequests(): boolean {
-    return this.inFlight > 0 || this.env.unsentResponses() > 0;
-  }
-
-  /** Shuts down gracefully: reports unready, stops listening, and waits for requests in flight, up to the grace time. */
+  /** Shuts down gracefully: reports unready at once, and serves callers until they have noticed that. */
   *stop(): Task<void> {
-    this.env.log(1002);
+    const ingress = this;
+    const shutdown = new GracefulShutdown(this.env, this.settings);
     this.readiness.stopping = true;
     this.link.prepareStop();
-    const startedAt = this.env.monotonicMs();
-    // Callers keep sending until they have seen that this ingress is unready; those requests are served.
-    yield* EnvironmentTools.sleep(this.env, Constants.shutdownListenMs);
-    // From here on callers find no listener and go elsewhere, so the end of the process interrupts no request.
-    this.env.stopServing();
-    while (this.env.monotonicMs() < startedAt + Constants.shutdownGraceMs && this.hasUnfinishedRequests())
-      yield* EnvironmentTools.sleep(this.env, DRAIN_POLL_MS);
-    yield* EnvironmentTools.sleep(this.env, Constants.ledgerFlushMs + LAST_NOTES_MS);
-    yield* this.link.leaveCluster();
+    yield* shutdown.run({
+      handOver: () => EnvironmentTools.sleep(this.env, shutdown.listenMs),
+      *leave() {
+        yield* EnvironmentTools.sleep(ingress.env, Constants.ledgerFlushMs + LAST_NOTES_MS);
+        yield* ingress.link.leaveCluster();
+      },
+    });
   }
 }
--- a/src/ingress/remoteAgent.ts
+++ b/src/ingress/remoteAgent.ts
@@ -103,7 +103,7 @@
   }
 
   *leaveCluster(): Task<void> {
-    this.env.log(1003);
+    // The agent process leaves by itself.
   }
 
   private *feedLoop(onChange: () => void): Task<void> {
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -12,6 +12,7 @@
 import { ClockWatch } from "./clockWatch";
 import { ClusterSnapshot } from "./clusterSnapshot";
 import { ClusterSnapshotCache } from "./clusterSnapshotCache";
+import { GracefulShutdown, ShutdownSteps } from "./gracefulShutdown";
 import { ReadIndex, ReadIndexConfirmation } from "./readIndexConfirmation";
 import { RecentConfirmation } from "./recentConfirmation";
 
@@ -122,17 +123,16 @@
     return Fault.ok(node);
   }
 
-  /**
-   * Shuts down gracefully, on SIGTERM: becomes unready, waits until `finish` has completed the requests in flight, and
-   * leaves the cluster.
-   */
-  *shutDown(finish: () => Task<void> = () => EnvironmentTools.sleep(this.env, IDLE_DRAIN_MS)): Task<void> {
-    this.env.log(1002);
+  /** Shuts down gracefully, on SIGTERM: becomes unready, hands work over, finishes requests and leaves the cluster. */
+  *shutDown(handOver: ShutdownSteps["handOver"] = () => EnvironmentTools.sleep(this.env, IDLE_DRAIN_MS)): Task<void> {
     this.stopping = true;
-    yield* finish();
+    yield* new GracefulShutdown(this.env, this.settings).run({ handOver, leave: () => this.leaveCluster() });
+  }
+
+  /** Tells the other members that this one leaves. */
+  *leaveCluster(): Task<void> {
     this.membership.leave();
     yield* EnvironmentTools.sleep(this.env, LEAVE_GRACE_MS);
-    this.env.log(1003);
   }
 
   /** Calls the listener after each freeze. */
--- a/src/runtime/env.ts
+++ b/src/runtime/env.ts
@@ -7,3 +7,4 @@
 export type { HttpExchange, HttpLimits, HttpRequest, HttpResponse, StreamFraming } from "./http";
 export type { RequestCorrelation } from "./requestCorrelation";
 export type { DatagramSocket, Link } from "./network";
+export type { ServingPhase } from "./servingPhase";
--- a/src/runtime/environment.ts
+++ b/src/runtime/environment.ts
@@ -4,6 +4,7 @@
 import { Disk } from "./disk";
 import { HttpExchange, HttpLimits, HttpRequest, HttpResponse } from "./http";
 import { DatagramSocket, Link } from "./network";
+import type { ServingPhase } from "./servingPhase";
 
 /** What happens at a fault point; scenarios select the disks to lose by it. */
 export interface FaultPointContext {
@@ -47,10 +48,10 @@
     handler: (exchange: HttpExchange) => Task<void>,
     limits?: () => HttpLimits,
   ): Task<Result<true>>;
-  /** Stops accepting HTTP connections and closes idle ones; the others are closed after their next response. */
-  stopServing(): void;
-  /** Returns the number of HTTP responses that have been ended and not yet been sent to their end. */
-  unsentResponses(): number;
+  /** Sets what the process does with HTTP requests from now on. */
+  enterServingPhase(phase: ServingPhase): void;
+  /** Returns the number of HTTP requests that were read and whose responses have not been sent to their end. */
+  unfinishedRequests(): number;
   /** What happened on the connections of this process to HTTP servers. */
   readonly connectionEvents: ConnectionEvents;
   /** Sends an HTTP request. Faults: "refused" if nothing was sent, "timeout" and "broken" if it may have arrived. */
--- a/src/runtime/http.ts
+++ b/src/runtime/http.ts
@@ -32,7 +32,15 @@
   readonly disconnected: Chan<true>;
   /** Called if the caller disconnects before the response is complete; set by the handler. */
   onDisconnect?: () => void;
-  /** Reads the body. Faults: "invalid" if it is longer than `limit` bytes, "broken" if the caller disconnects. */
+  /**
+   * Whether the request may have had an effect; set by a handler that knows. It decides about the last response if the
+   * process stops before there is another one. Default: whether its method is a safe one.
+   */
+  mayHaveRun?: boolean;
+  /**
+   * Reads the body. Faults: "invalid" if it is longer than `limit` bytes, "broken" if the caller disconnects, "busy" if the
+   * process takes no requests any more when the last byte arrives.
+   */
   body(limit: number): Task<Result<Buffer>>;
   /** Sends a complete response. */
   send(status: number, headers: Record<string, string>, body: string | Buffer): void;
--- a/src/runtime/httpServer.ts
+++ b/src/runtime/httpServer.ts
@@ -6,6 +6,8 @@
 import { parseAddress, awaitCallback } from "./callbacks";
 import { HttpExchange, HttpLimits } from "./env";
 import { NodeLibs } from "./nodeLibs";
+import { readRequestBody } from "./requestBody";
+import { rejectStopping, sendLastResponse, ServingPhase } from "./servingPhase";
 import { CutRequest, UnfinishedRequests } from "./unfinishedRequests";
 
 type Handler = (exchange: HttpExchange) => Task<void>;
@@ -14,7 +16,12 @@
  * of the last response in ms of `performance.now()`, and whether a request had invalid framing, after which further
  * requests are ignored.
  */
-type Connection = { pendingCount: number; newest?: http.IncomingMessage; idleSince: number; isRejected: boolean };
+interface Connection {
+  pendingCount: number;
+  newest?: http.IncomingMessage;
+  idleSince: number;
+  isRejected: boolean;
+}
 
 /** The limits of a server that is given no others. */
 export const defaultHttpLimits: HttpLimits = {
@@ -72,9 +79,10 @@
   private appliedLimits: HttpLimits | undefined;
   /** The value of the Keep-Alive header; empty if connections are not kept. */
   private keepAliveHeader = "";
-  private isStopping = false;
-  /** Whether idle connections are to be closed once no response is unsent. */
-  private closesIdleOnceSent = false;
+  private phase: ServingPhase = "serving";
+  private readonly sockets = new Set<net.Socket>();
+  /** Connections whose last response promised to keep them, and which are closed after a while since the server drains. */
+  private readonly lingering = new Set<net.Socket>();
   constructor(
     private readonly scope: Scope,
     private readonly handler: Handler,
@@ -87,7 +95,14 @@
       },
       (request, response) => this.onRequest(request, response),
     );
-    this.server.prependListener("connection", () => this.refreshLimits());
+    this.server.prependListener("connection", (socket: net.Socket) => {
+      this.refreshLimits();
+      this.sockets.add(socket);
+      socket.on("close", () => {
+        this.sockets.delete(socket);
+        this.lingering.delete(socket);
+      });
+    });
     this.server.on("timeout", (socket: net.Socket) => this.onTimeout(socket));
     this.server.on("clientError", (error: NodeJS.ErrnoException, socket: net.Socket) =>
       this.onClientError(error, socket),
@@ -111,25 +126,49 @@
     });
     return Fault.ok(true as const);
   }
-  /** The number of responses that have been ended, and of which a part still waits for the caller to read. */
-  get unsentCount(): number {
-    return this.unsent.size;
+  /** The number of requests without a whole response, and of connections on which another one may be in transit. */
+  get unfinishedCount(): number {
+    return this.unfinished.count + this.lingering.size;
   }
   /** The requests that would be cut if the process ended now. */
   cutNow(): CutRequest[] {
     return this.unfinished.cutNow();
   }
-  /** Stops accepting connections and closes idle ones; each further response closes its connection. */
-  stopServing(): void {
-    this.isStopping = true;
+
+  // ---------- Shutdown ----------
+  /** Enters a phase; see `ServingPhase`. */
+  enter(phase: ServingPhase): void {
+    this.phase = phase;
+    if (phase === "draining") this.drain();
+    if (phase === "closed") this.close();
+  }
+  private acceptsRequests(): boolean {
+    return this.phase === "serving" || this.phase === "leaving";
+  }
+  private stopListening(): void {
     // The method of the HTTP server would also close connections whose response has not been sent to its end.
-    NodeLibs.net().Server.prototype.close.call(this.server);
-    this.closeIdleConnections();
+    if (this.server.listening) NodeLibs.net().Server.prototype.close.call(this.server);
+  }
+  private drain(): void {
+    this.stopListening();
+    // Node.js counts a connection as idle whose response has been ended and not been sent; requests on it are rejected.
+    if (this.unsent.size === 0) this.server.closeIdleConnections();
+  }
+  /** Answers the requests without a response, and ends the connections on which nothing is left to send. */
+  private close(): void {
+    this.stopListening();
+    for (const exchange of this.unfinished.withoutResponse()) sendLastResponse(exchange);
+    for (const socket of this.sockets) if (this.connectionOf(socket).pendingCount === 0) socket.end();
   }
-  /** Closes idle connections; as Node.js counts those as idle whose response is unsent, once all responses are sent. */
-  private closeIdleConnections(): void {
-    this.closesIdleOnceSent = this.unsent.size > 0;
-    if (!this.closesIdleOnceSent) this.server.closeIdleConnections();
+  /**
+   * Closes a kept connection on which nothing is in progress. Its caller may be sending the next request, so it has a
+   * while to receive the rejection of that.
+   */
+  private closeAfterLinger(socket: net.Socket): void {
+    this.lingering.add(socket);
+    setTimeout(() => {
+      if (this.lingering.delete(socket)) socket.end();
+    }, Constants.drainLingerMs).unref();
   }
 
   // ---------- Limits ----------
@@ -179,12 +218,13 @@
     this.refreshLimits();
     const { socket } = request;
     const connection = this.connectionOf(socket);
-    if (connection.isRejected) return;
+    if (connection.isRejected || this.phase === "closed") return;
+    this.lingering.delete(socket);
     connection.pendingCount += 1;
     connection.newest = request;
-    this.unfinished.add(request, response);
     const disconnected = Csp.chan<true>(1);
     const exchange = this.makeExchange(request, response, disconnected);
+    this.unfinished.add(exchange, response);
     const onEnd = (): void => {
       disconnected.close();
       if (!response.writableFinished) exchange.onDisconnect?.();
@@ -193,13 +233,14 @@
       this.connectionFramed.delete(response);
       this.unsent.delete(response);
       this.unfinished.delete(response);
-      if (this.closesIdleOnceSent) this.closeIdleConnections();
       connection.pendingCount -= 1;
       connection.idleSince = performance.now();
+      if (this.phase === "draining" && connection.pendingCount === 0 && socket.writable) this.closeAfterLinger(socket);
       onEnd();
     });
     response.on("error", onEnd);
     if (headerBytes(request.rawHeaders) > this.appliedLimits!.headerBytes) return exchange.send(431, {}, "");
+    if (!this.acceptsRequests()) return void this.rejectOnceRead(request, exchange);
     const { handler } = this;
     Csp.go(this.scope, `${exchange.method} ${exchange.path}`, function* () {
       try {
@@ -212,6 +253,11 @@
       }
     });
   }
+  /** Rejects a request once its body has been read; its sender might not read a response before. */
+  private rejectOnceRead(request: http.IncomingMessage, exchange: HttpExchange): void {
+    request.on("end", () => rejectStopping(exchange));
+    request.resume();
+  }
   private makeExchange(
     request: http.IncomingMessage,
     response: http.ServerResponse,
@@ -220,7 +266,7 @@
     const target = originForm(request.url ?? "/");
     const queryStart = target.indexOf("?");
     const writeHead = (status: number, headers: Record<string, string>): void => {
-      if (this.isStopping) response.shouldKeepAlive = false;
+      if (this.phase !== "serving") response.shouldKeepAlive = false;
       if (endsWithConnection) this.connectionFramed.add(response);
       const isKept = response.shouldKeepAlive && headers.connection === undefined && this.keepAliveHeader !== "";
       response.writeHead(status, isKept ? { ...headers, "keep-alive": this.keepAliveHeader } : headers);
@@ -246,7 +292,7 @@
       headers: request.headers as Record<string, string>,
       callerAddress: `${request.socket.remoteAddress}:${request.socket.remotePort}`,
       disconnected,
-      body: (limit) => bodyOf(request, limit),
+      body: (limit) => readRequestBody(request, limit, () => this.acceptsRequests()),
       send(status, headers, body) {
         if (response.headersSent || response.destroyed) return;
         if (status === 413 || status === 431) response.shouldKeepAlive = false;
@@ -281,25 +327,3 @@
   response.socket?.resetAndDestroy();
   response.destroy();
 }
-
-/**
- * Reads a body. Up to `bodyDrainBytes` beyond the limit are read and discarded, so that the sender of a longer body
- * receives the response that rejects it.
- */
-function* bodyOf(request: http.IncomingMessage, limit: number): Task<Result<Buffer>> {
-  const overLimit = (): Result<Buffer> => Fault.fail("invalid", "read body", "caller", "body over the limit");
-  const readLimit = limit + Constants.bodyDrainBytes;
-  if (Number(request.headers["content-length"]) > readLimit) return overLimit();
-  return yield* awaitCallback<Result<Buffer>>((done) => {
-    let chunks: Buffer[] = [];
-    let size = 0;
-    request.on("data", (chunk: Buffer) => {
-      size += chunk.length;
-      if (size <= limit) chunks.push(chunk);
-      else chunks = [];
-      if (size > readLimit) done(overLimit());
-    });
-    request.on("end", () => done(size > limit ? overLimit() : Fault.ok(Buffer.concat(chunks))));
-    request.on("close", () => done(Fault.fail("broken", "read body", "caller", "caller went away")));
-  });
-}
--- a/src/runtime/nodeEnvironment.ts
+++ b/src/runtime/nodeEnvironment.ts
@@ -160,8 +160,8 @@
         servers.push(server);
         return yield* server.listen(address);
       },
-      stopServing: () => servers.forEach((server) => server.stopServing()),
-      unsentResponses: () => servers.reduce((sum, server) => sum + server.unsentCount, 0),
+      enterServingPhase: (phase) => servers.forEach((server) => server.enter(phase)),
+      unfinishedRequests: () => servers.reduce((sum, server) => sum + server.unfinishedCount, 0),
       connectionEvents,
       httpRequest: (address, request) => httpClient.request(address, request),
       faultPoint: () => undefined,
--- a/src/runtime/unfinishedRequests.ts
+++ b/src/runtime/unfinishedRequests.ts
@@ -1,4 +1,5 @@
 import type * as http from "http";
+import type { HttpExchange } from "./http";
 
 /** A request whose response was not sent to its end when its process ended. */
 export interface CutRequest {
@@ -10,24 +11,36 @@
   hasBegun: boolean;
 }
 
+interface UnfinishedRequest {
+  exchange: HttpExchange;
+  response: http.ServerResponse;
+  arrivedAt: number;
+}
+
 /** The requests of an HTTP server whose responses have not been sent to their end. */
 export class UnfinishedRequests {
-  private readonly arrivals = new Map<http.ServerResponse, { request: http.IncomingMessage; arrivedAt: number }>();
+  private readonly byResponse = new Map<http.ServerResponse, UnfinishedRequest>();
 
   get count(): number {
-    return this.arrivals.size;
+    return this.byResponse.size;
   }
-  add(request: http.IncomingMessage, response: http.ServerResponse): void {
-    this.arrivals.set(response, { request, arrivedAt: performance.now() });
+  add(exchange: HttpExchange, response: http.ServerResponse): void {
+    this.byResponse.set(response, { exchange, response, arrivedAt: performance.now() });
   }
   delete(response: http.ServerResponse): void {
-    this.arrivals.delete(response);
+    this.byResponse.delete(response);
+  }
+  /** The exchanges whose responses have not begun. */
+  withoutResponse(): HttpExchange[] {
+    return [...this.byResponse.values()]
+      .filter(({ response }) => !response.headersSent)
+      .map(({ exchange }) => exchange);
   }
   /** Describes the requests as cut now. */
   cutNow(): CutRequest[] {
-    return [...this.arrivals].map(([response, { request, arrivedAt }]) => ({
-      method: request.method ?? "",
-      path: request.url ?? "",
+    return [...this.byResponse.values()].map(({ exchange, response, arrivedAt }) => ({
+      method: exchange.method,
+      path: exchange.path,
       ageMs: Math.round(performance.now() - arrivedAt),
       hasBegun: response.headersSent,
     }));
--- a/src/simulation/simEnvironment.ts
+++ b/src/simulation/simEnvironment.ts
@@ -49,7 +49,7 @@
   release(process: SimProcess): void {
     for (const [address, { process: owner }] of this.listeners) if (owner === process) this.listeners.delete(address);
     for (const [address, { process: owner }] of this.sockets) if (owner === process) this.sockets.delete(address);
-    this.host.http.stopServing(process);
+    this.host.http.stopListening(process);
   }
   /** The environment of a process. */
   of(process: SimProcess): Environment {
@@ -77,8 +77,8 @@
           ? Fault.ok(true as const)
           : Fault.fail("internal", "serve http", address, "address in use");
       },
-      stopServing: () => host.http.stopServing(process),
-      unsentResponses: () => 0,
+      enterServingPhase: (phase) => host.http.enterServingPhase(process, phase),
+      unfinishedRequests: () => host.http.unfinishedRequests(process),
       connectionEvents: new ConnectionEvents({ log, monotonicMs }),
       httpRequest: (address, outgoing) => host.http.request(process, address, outgoing),
       faultPoint: (number, context) => host.reachFaultPoint(process, number, context),
--- a/src/simulation/simExchange.ts
+++ b/src/simulation/simExchange.ts
@@ -5,6 +5,7 @@
 import { BodyFraming, HttpExchange, HttpRequest, HttpResponse } from "../runtime/env";
 import { isResponseTo, OTHER_REQUEST_ANSWERED } from "../runtime/requestCorrelation";
 import { Fault, Result } from "../common/fault";
+import { sendLastResponse } from "../runtime/servingPhase";
 import type { ResponseReceiver, SentResponse, SimConnection } from "./simConnections";
 import type { PipeSend, SimNetwork } from "./simNetwork";
 import type { SimProcess } from "./simProcess";
@@ -19,6 +20,8 @@
   /** Without the way in which the server ended the connection, the client ended it itself. */
   disconnectClient: (how?: ConnectionEnd) => void;
   disconnectServer: () => void;
+  /** Answers the request if its response has not begun, since the server stops. */
+  sendLastResponse: () => void;
 }
 type RequestState = "connecting" | "sent" | "responded" | "closed";
 
@@ -109,6 +112,9 @@
           this.incoming.onDisconnect?.();
           host.exchanges.delete(this.exchange);
         }),
+      sendLastResponse: () => {
+        if (!this.sent) sendLastResponse(this.incoming);
+      },
     };
     this.incoming = this.createIncoming(client, outgoing);
     request.exchange = this.exchange;
--- a/src/simulation/simHttp.ts
+++ b/src/simulation/simHttp.ts
@@ -1,6 +1,7 @@
 import { Csp, Task } from "../runtime/csp";
 import { HttpExchange, HttpRequest, HttpResponse } from "../runtime/env";
 import { Result } from "../common/fault";
+import { rejectStopping, ServingPhase } from "../runtime/servingPhase";
 import { SecondResponseMoment, SentResponse, SimConnection, SimConnections } from "./simConnections";
 import { ClientRequest, ExchangeHost, OpenExchange, ServerExchange } from "./simExchange";
 import { NetworkClock, SimNetwork } from "./simNetwork";
@@ -29,6 +30,7 @@
   /** Decides which whole responses of a server arrive a second time on their connection, and when. */
   secondResponseMoment: (server: SimProcess) => SecondResponseMoment | undefined = () => undefined;
   private readonly connections = new SimConnections();
+  private readonly phases = new WeakMap<SimProcess, ServingPhase>();
 
   constructor(
     private readonly clock: NetworkClock,
@@ -41,8 +43,19 @@
     this.servers.set(address, { process, handler });
     return true;
   }
-  /** Stops serving all addresses of a process. Requests that have reached it continue. */
-  stopServing(process: SimProcess): void {
+  /** Sets what a process does with requests. Those on connections that were opened before reach it until it is closed. */
+  enterServingPhase(process: SimProcess, phase: ServingPhase): void {
+    this.phases.set(process, phase);
+    if (phase === "draining" || phase === "closed") this.stopListening(process);
+    if (phase !== "closed") return;
+    for (const exchange of [...this.exchanges]) if (exchange.server === process) exchange.sendLastResponse();
+  }
+  /** The number of requests that have reached a process and whose responses have not ended. */
+  unfinishedRequests(process: SimProcess): number {
+    return [...this.exchanges].filter((exchange) => exchange.server === process).length;
+  }
+  /** Frees all addresses of a process. Requests that have reached it continue. */
+  stopListening(process: SimProcess): void {
     for (const [address, server] of this.servers) if (server.process === process) this.servers.delete(address);
   }
   /** Disconnects the other end of every exchange of a process that has ended. */
@@ -76,8 +89,11 @@
       correlation && !newConnection
         ? this.connections.take(client, server.process, request.address, correlation.id)
         : undefined;
+    const phase = this.phases.get(server.process) ?? "serving";
+    if (phase === "closed") return client.deliver(() => request.refuse());
     const { incoming } = new ServerExchange(this, request, client, server.process, outgoing, connection);
     if (connection) this.requestArrived(connection);
+    if (phase === "draining") return rejectStopping(incoming);
     server.process.deliver(
       () => void Csp.go(server.process.scope, `${outgoing.method} ${outgoing.path}`, () => server.handler(incoming)),
     );
--- a/src/storage/storageNode.ts
+++ b/src/storage/storageNode.ts
@@ -24,9 +24,6 @@
 import { ShardClient } from "./shardClient";
 import { ShardMaintenance } from "./shardMaintenance";
 
-/** Period at which a stopping node checks whether its work has ended, ms. */
-const STOP_CHECK_PERIOD_MS = 50;
-
 /** Names of the replicas' folders in the data folder. */
 const REPLICA_FOLDER = /^shard-(\d+)$/;
 
@@ -200,15 +197,14 @@
   }
 
   /**
-   * Shuts down gracefully on SIGTERM: waits, for `shutdownGraceMs` at most, until other members lead this node's shards
-   * and all work under a claim has ended. The new leaders recover what still runs then.
+   * Shuts down gracefully on SIGTERM: waits until other members lead this node's shards and all work under a claim has ended.
+   * The new leaders recover what still runs at the end of the wait.
    */
   stop(): Task<void> {
     const storage = this;
-    return this.node.shutDown(function* () {
-      const deadline = storage.env.monotonicMs() + Constants.shutdownGraceMs;
+    return this.node.shutDown(function* (deadline) {
       while (storage.env.monotonicMs() < deadline && storage.hasUnfinishedWork())
-        yield* EnvironmentTools.sleep(storage.env, STOP_CHECK_PERIOD_MS);
+        yield* EnvironmentTools.sleep(storage.env, Constants.shutdownCheckPeriodMs);
     });
   }
 
--- a/test/direct.test.ts
+++ b/test/direct.test.ts
@@ -89,7 +89,6 @@
       headerNames: names,
       snapshot: () => snapshot,
       readiness: {
-        stopping: false,
         rejectReason: () => undefined,
         clockReason: () => (clockTrusted ? undefined : "clock"),
       },
--- a/test/socketIngress.ts
+++ b/test/socketIngress.ts
@@ -118,7 +118,7 @@
       id: "i",
       headerNames: defaultHeaderNames,
       snapshot: () => snapshot,
-      readiness: { stopping: false, rejectReason: () => undefined, clockReason: () => undefined },
+      readiness: { rejectReason: () => undefined, clockReason: () => undefined },
       admission: { bodyLimitBytes: () => 100_000, countLive: (_routeName, task) => task() },
       notes: { add: () => undefined },
       counters: new IngressCounters(),
--- a/test/stopping.test.ts
+++ b/test/stopping.test.ts
@@ -24,7 +24,7 @@
       Csp.offer(responses, `${response.ok && response.value.headers.connection} ${body}`);
     });
     const pending = (yield* Csp.take(receivedExchanges))!;
-    env.stopServing();
+    env.enterServingPhase("draining");
     const lateRequest = yield* env.httpRequest(address, {
       method: "GET",
       path: "/",
@@ -109,10 +109,10 @@
       exchange[method](200, {}, LARGE_BODY);
     });
     const caller = await slowCaller(port);
-    bed.env.stopServing();
-    expect(bed.env.unsentResponses()).toBe(1);
+    bed.env.enterServingPhase("draining");
+    expect(bed.env.unfinishedRequests()).toBe(1);
     expect(await caller.readToEnd()).toBeGreaterThan(LARGE_BODY.length);
-    expect(bed.env.unsentResponses()).toBe(0);
+    expect(bed.env.unfinishedRequests()).toBe(0);
     expect(ConnectionEnds.of(caller.socket)).toBe("closed");
     bed.close();
     expect(bed.errors).toEqual([]);
