Handle the signals of a process once, from before its start to its end

What callers saw: a second SIGTERM while the first was obeyed ended the process at once, with all that was in flight; so did SIGTERM and SIGHUP during the start, when it already listened.

Cause: the handlers were set after the start, and that of SIGTERM only for its first arrival (`process.once`), after which the signal has its default action. The command line had a guard of its own: the same logic stood twice and differed.

The first SIGTERM or SIGINT asks for a stop, which follows the start (or ends it, if it takes longer than the grace period allows); each further one and SIGHUP is logged (PB1010).

--- a/src/cli/daemonCommands.ts
+++ b/src/cli/daemonCommands.ts
@@ -2,13 +2,10 @@
 import { Fault } from "../common/fault";
 import { Logger } from "../common/logger";
 import { Settings } from "../common/settings";
-import { Daemon, RunningDaemon } from "../daemon/daemon";
-import { Csp, Scope } from "../runtime/csp";
-import { NodeEnvironment } from "../runtime/nodeEnvironment";
+import { DaemonProcess } from "../daemon/daemonProcess";
 import { printError, printLine, USAGE_EXIT_CODE } from "./output";
 import { checkSettingsFile, DaemonOptions, readSettings, settingFlags } from "./settingsOptions";
 
-const TASK_FAILED_EVENT = 1004;
 const START_FAILED_EXIT_CODE = 1;
 
 /** The daemon programs, with what the help of their commands says they do. */
@@ -24,20 +21,9 @@
   if (fault.tag === "invalid") for (const path of fault.paths ?? []) printError(`  ${path}`);
 }
 
-/** Stops the daemon gracefully at the first SIGTERM or SIGINT and ends the process. */
-function stopOnSignal(scope: Scope, daemon: RunningDaemon): void {
-  let stopping = false;
-  const stop = (): void => {
-    if (stopping) return;
-    stopping = true;
-    Csp.go(scope, "stop", function* () {
-      yield* daemon.stop();
-      scope.stop();
-      process.exit(0);
-    });
-  };
-  process.on("SIGTERM", stop);
-  process.on("SIGINT", stop);
+function exitWithStartFault(fault: Fault): never {
+  printFault(fault);
+  process.exit(fault.tag === "invalid" ? USAGE_EXIT_CODE : START_FAILED_EXIT_CODE);
 }
 function startDaemon(program: string, options: DaemonOptions): void {
   const settings = readSettings(program, options);
@@ -46,18 +32,7 @@
     process.exit(USAGE_EXIT_CODE);
   }
   const log = Logger.make(`${program}@${settings.value.address}`, settings.value.log ?? "info");
-  const onError = (task: string, error: unknown): void =>
-    log(TASK_FAILED_EVENT, { task, error: String((error as Error).stack ?? error) });
-  const scope = new Scope(program, onError);
-  const env = NodeEnvironment.make(program, scope, log);
-  Csp.go(scope, "main", function* () {
-    const started = yield* Daemon.start(env, settings.value);
-    if (!started.ok) {
-      printFault(started.fault);
-      process.exit(started.fault.tag === "invalid" ? USAGE_EXIT_CODE : START_FAILED_EXIT_CODE);
-    }
-    stopOnSignal(scope, started.value);
-  });
+  DaemonProcess.run({ name: program, settings: settings.value, log, onStartFault: exitWithStartFault });
 }
 function checkFile(file: string): void {
   const settings = checkSettingsFile(file);
--- a/src/common/logEvents.ts
+++ b/src/common/logEvents.ts
@@ -34,6 +34,11 @@
     operatorAction:
       "none after the grace period; before it, report it: ageMs tells how long before the end each was read, hasBegun whether its response had begun",
   },
+  1010: {
+    level: "info",
+    text: "signal ignored: the process is shutting down, or the signal has no effect",
+    operatorAction: "none",
+  },
   1101: { level: "info", text: "member joined", operatorAction: "none" },
   1102: {
     level: "warn",
