--- a/src/runtime/httpServer.ts
+++ b/src/runtime/httpServer.ts
@@ -7,22 +7,11 @@
 import { HttpExchange, HttpLimits } from "./env";
 import { NodeLibs } from "./nodeLibs";
 import { readRequestBody } from "./requestBody";
+import { ServerConnections } from "./serverConnections";
 import { rejectStopping, sendLastResponse, ServingPhase } from "./servingPhase";
 import { CutRequest, UnfinishedRequests } from "./unfinishedRequests";
 
 type Handler = (exchange: HttpExchange) => Task<void>;
-/**
- * The state of a connection: the number of requests without a complete response, the last request that began, the time
- * of the last response in ms of `performance.now()`, and whether a request had invalid framing, after which further
- * requests are ignored.
- */
-interface Connection {
-  pendingCount: number;
-  newest?: http.IncomingMessage;
-  idleSince: number;
-  isRejected: boolean;
-}
-
 /** The limits of a server that is given no others. */
 export const defaultHttpLimits: HttpLimits = {
   headerBytes: Constants.headerLimitBytes,
@@ -70,7 +59,7 @@
  */
 export class HttpServer {
   private readonly server: http.Server;
-  private readonly connections = new WeakMap<net.Socket, Connection>();
+  private readonly connections = new ServerConnections();
   /** Responses not sent to their end whose body only the end of the connection ends. */
   private readonly connectionFramed = new Set<http.ServerResponse>();
   /** Responses that have been ended, and of which a part still waits for the caller to read. */
@@ -80,9 +69,6 @@
   /** The value of the Keep-Alive header; empty if connections are not kept. */
   private keepAliveHeader = "";
   private phase: ServingPhase = "serving";
-  private readonly sockets = new Set<net.Socket>();
-  /** Connections whose last response promised to keep them, and which are closed after a while since the server drains. */
-  private readonly lingering = new Set<net.Socket>();
   constructor(
     private readonly scope: Scope,
     private readonly handler: Handler,
@@ -97,11 +83,7 @@
     );
     this.server.prependListener("connection", (socket: net.Socket) => {
       this.refreshLimits();
-      this.sockets.add(socket);
-      socket.on("close", () => {
-        this.sockets.delete(socket);
-        this.lingering.delete(socket);
-      });
+      this.connections.add(socket);
     });
     this.server.on("timeout", (socket: net.Socket) => this.onTimeout(socket));
     this.server.on("clientError", (error: NodeJS.ErrnoException, socket: net.Socket) =>
@@ -128,7 +110,7 @@
   }
   /** The number of requests without a whole response, and of connections on which another one may be in transit. */
   get unfinishedCount(): number {
-    return this.unfinished.count + this.lingering.size;
+    return this.unfinished.count + this.connections.lingeringCount;
   }
   /** The requests that would be cut if the process ended now. */
   cutNow(): CutRequest[] {
@@ -158,17 +140,7 @@
   private close(): void {
     this.stopListening();
     for (const exchange of this.unfinished.withoutResponse()) sendLastResponse(exchange);
-    for (const socket of this.sockets) if (this.connectionOf(socket).pendingCount === 0) socket.end();
-  }
-  /**
-   * Closes a kept connection on which nothing is in progress. Its caller may be sending the next request, so it has a
-   * while to receive the rejection of that.
-   */
-  private closeAfterLinger(socket: net.Socket): void {
-    this.lingering.add(socket);
-    setTimeout(() => {
-      if (this.lingering.delete(socket)) socket.end();
-    }, Constants.drainLingerMs).unref();
+    this.connections.closeIdle();
   }
 
   // ---------- Limits ----------
@@ -182,23 +154,16 @@
     const seconds = Math.floor(limits.idleMs / 1000);
     this.keepAliveHeader = seconds > 0 ? `timeout=${seconds}` : "";
   }
-  private connectionOf(socket: net.Socket): Connection {
-    const existing = this.connections.get(socket);
-    if (existing) return existing;
-    const connection: Connection = { pendingCount: 0, idleSince: performance.now(), isRejected: false };
-    this.connections.set(socket, connection);
-    return connection;
-  }
   /** Closes an idle connection, unless the limits were raised since its last response and now allow it more time. */
   private onTimeout(socket: net.Socket): void {
     this.refreshLimits();
-    const idleMs = performance.now() - this.connectionOf(socket).idleSince;
+    const idleMs = performance.now() - this.connections.of(socket).idleSince;
     const leftMs = this.server.keepAliveTimeout - idleMs;
     if (leftMs > 1) socket.setTimeout(leftMs);
     else socket.destroy();
   }
   private onClientError(error: NodeJS.ErrnoException, socket: net.Socket): void {
-    const connection = this.connectionOf(socket);
+    const connection = this.connections.of(socket);
     if (connection.isRejected) return;
     if (!socket.writable || error.code === "ECONNRESET") return void socket.destroy();
     // A new connection without any data counts as idle: the idle time applies to it, not the time for the headers.
@@ -217,11 +182,8 @@
   private onRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
     this.refreshLimits();
     const { socket } = request;
-    const connection = this.connectionOf(socket);
-    if (connection.isRejected || this.phase === "closed") return;
-    this.lingering.delete(socket);
-    connection.pendingCount += 1;
-    connection.newest = request;
+    if (this.connections.of(socket).isRejected || this.phase === "closed") return;
+    this.connections.requestArrived(socket, request);
     const disconnected = Csp.chan<true>(1);
     const exchange = this.makeExchange(request, response, disconnected);
     this.unfinished.add(exchange, response);
@@ -233,9 +195,8 @@
       this.connectionFramed.delete(response);
       this.unsent.delete(response);
       this.unfinished.delete(response);
-      connection.pendingCount -= 1;
-      connection.idleSince = performance.now();
-      if (this.phase === "draining" && connection.pendingCount === 0 && socket.writable) this.closeAfterLinger(socket);
+      const isIdle = this.connections.responseEnded(socket);
+      if (isIdle && this.phase === "draining") this.connections.closeAfterLinger(socket);
       onEnd();
     });
     response.on("error", onEnd);
