--- a/src/daemon/daemonProcess.ts
+++ b/src/daemon/daemonProcess.ts
@@ -6,8 +6,8 @@
 import { NodeEnvironment } from "../runtime/nodeEnvironment";
 import { GracefulShutdown } from "../node/gracefulShutdown";
 import { Daemon, RunningDaemon } from "./daemon";
+import { watchSignals } from "./processSignals";
 
-const STOP_SIGNALS = ["SIGTERM", "SIGINT"] as const;
 const STOP_FAILED_EXIT_CODE = 1;
 
 /** What a process runs as. */
@@ -21,19 +21,6 @@
   onStartFault: (fault: Fault) => never;
 }
 
-/**
- * Handles the signals to this process, from now to its end: the first SIGTERM or SIGINT closes the returned channel. Later ones
- * and SIGHUP are only logged; settings that may change are read when they are needed.
- */
-function watchSignals(log: Environment["log"]): Chan<never> {
-  const stopRequested = Csp.closeSignal();
-  const ignore = (signal: string): void => log(1010, { signal });
-  for (const signal of STOP_SIGNALS)
-    process.on(signal, () => (stopRequested.isClosed() ? ignore(signal) : stopRequested.close()));
-  process.on("SIGHUP", () => ignore("SIGHUP"));
-  return stopRequested;
-}
-
 /** Ends the process if its start takes longer than the grace period allows after a request to stop. */
 function* endUnstarted(env: Environment, settings: Settings, stopRequested: Chan<never>): Task<void> {
   yield* Csp.take(stopRequested);
--- a/test/golden/rareEventRun.ts
+++ b/test/golden/rareEventRun.ts
@@ -6,12 +6,30 @@
 import { Rpc } from "../../src/rpc/rpc";
 import { SimDisk } from "../../src/simulation/simDisk";
 import { SimWorld } from "../../src/simulation/simWorld";
+import { watchSignals } from "../../src/daemon/processSignals";
+import { Csp, Scope } from "../../src/runtime/csp";
+import { Environment } from "../../src/runtime/env";
+import { NodeEnvironment } from "../../src/runtime/nodeEnvironment";
+import { RawClient, SocketTestBed } from "../rawSockets";
 import { goldenConfiguration } from "./configuration";
 import { GoldenFleet } from "./goldenFleet";
 import type { DataFolders } from "./dataFolderRun";
 
 /** Numbers of the log events that the operators' documentation mentions and that the message run does not log. */
-export const rareEventNumbers = ["1006", "1205", "1206", "1309", "1312", "1408", "1410", "1501", "1604", "1605"];
+export const rareEventNumbers = [
+  "1006",
+  "1009",
+  "1010",
+  "1205",
+  "1206",
+  "1309",
+  "1312",
+  "1408",
+  "1410",
+  "1501",
+  "1604",
+  "1605",
+];
 /** Virtual time at which the recorded folders are opened. It is later than all times in them. */
 const OPENED_AFTER_MS = 15_000;
 /** A snapshot that is not needed, because the logs next to it are complete. */
@@ -124,6 +142,38 @@
   return golden.logLines;
 }
 
+/** Collects log lines in the form of the simulator. */
+function lineLog(lines: string[]): Environment["log"] {
+  return (event, fields) => void lines.push(`0.0 ingress-1 PB${event} ${JSON.stringify(fields ?? {})}`);
+}
+
+/** Ends a process that has not responded to a request. */
+async function reportCutRequest(): Promise<string[]> {
+  const lines: string[] = [];
+  const scope = new Scope("ingress-1", (task, error) => lines.push(`${task}: ${String(error)}`));
+  const env = NodeEnvironment.make("ingress-1", scope, lineLog(lines));
+  const port = await SocketTestBed.freePort();
+  await new Promise<void>((arrived) =>
+    Csp.go(scope, "serve", function* () {
+      yield* env.serveHttp(`127.0.0.1:${port}`, function* () {
+        arrived();
+      });
+      new RawClient(port).write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    }),
+  );
+  scope.stop();
+  return lines;
+}
+
+/** Sends a signal that has no effect. */
+function reportIgnoredSignal(): string[] {
+  const lines: string[] = [];
+  watchSignals(lineLog(lines));
+  process.emit("SIGHUP", "SIGHUP");
+  for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) process.removeAllListeners(signal);
+  return lines;
+}
+
 /** Returns the log lines of the rare events, from runs that produce them. */
 export async function recordRareEvents(folders: DataFolders): Promise<string[]> {
   const lines = [
@@ -134,6 +184,8 @@
     ...(await runFailedFetch()),
     ...(await runWithoutConfirmation()),
     ...(await runWithFullControlDisk()),
+    ...(await reportCutRequest()),
+    ...reportIgnoredSignal(),
   ];
   return lines.filter((line) => rareEventNumbers.some((event) => line.includes(` PB${event} `)));
 }
