--- a/src/runtime/httpServer.ts
+++ b/src/runtime/httpServer.ts
@@ -62,8 +62,6 @@
   private readonly connections = new ServerConnections();
   /** Responses not sent to their end whose body only the end of the connection ends. */
   private readonly connectionFramed = new Set<http.ServerResponse>();
-  /** Responses that have been ended, and of which a part still waits for the caller to read. */
-  private readonly unsent = new Set<http.ServerResponse>();
   private readonly unfinished = new UnfinishedRequests();
   private appliedLimits: HttpLimits | undefined;
   /** The value of the Keep-Alive header; empty if connections are not kept. */
@@ -134,7 +132,7 @@
   private drain(): void {
     this.stopListening();
     // Node.js counts a connection as idle whose response has been ended and not been sent; requests on it are rejected.
-    if (this.unsent.size === 0) this.server.closeIdleConnections();
+    if (!this.unfinished.hasUnsentResponse()) this.server.closeIdleConnections();
   }
   /** Answers the requests without a response, and ends the connections on which nothing is left to send. */
   private close(): void {
@@ -193,7 +191,6 @@
     };
     response.on("close", () => {
       this.connectionFramed.delete(response);
-      this.unsent.delete(response);
       this.unfinished.delete(response);
       const isIdle = this.connections.responseEnded(socket);
       if (isIdle && this.phase === "draining") this.connections.closeAfterLinger(socket);
@@ -234,10 +231,6 @@
     };
     // HTTP/1.0 has no chunked encoding.
     let endsWithConnection = request.httpVersion === "1.0";
-    const endResponse = (body?: string | Buffer): void => {
-      this.unsent.add(response);
-      response.end(body);
-    };
     const frameByConnection = (): void => {
       endsWithConnection = true;
       response.shouldKeepAlive = false;
@@ -259,13 +252,13 @@
         if (status === 413 || status === 431) response.shouldKeepAlive = false;
         const isBodyless = request.method === "HEAD" || status === 204 || status === 304;
         writeHead(status, isBodyless ? headers : { ...headers, "content-length": String(Buffer.byteLength(body)) });
-        endResponse(body);
+        response.end(body);
       },
       sendUntilClose(status, headers, body) {
         if (response.headersSent || response.destroyed) return;
         frameByConnection();
         writeHead(status, headers);
-        endResponse(body);
+        response.end(body);
       },
       startStream(status, headers, framing = "chunked") {
         if (response.headersSent || response.destroyed) return;
@@ -274,7 +267,7 @@
         response.flushHeaders();
       },
       write: (chunk) => void (response.destroyed || response.write(chunk)),
-      end: () => void (response.destroyed || endResponse()),
+      end: () => void (response.destroyed || response.end()),
       abort() {
         if (endsWithConnection) resetConnection(response);
         else response.destroy();
--- a/src/runtime/serverConnections.ts
+++ b/src/runtime/serverConnections.ts
@@ -14,6 +14,12 @@
   isRejected: boolean;
 }
 
+const newConnection = (): ServerConnection => ({
+  pendingCount: 0,
+  idleSince: performance.now(),
+  isRejected: false,
+});
+
 /** The connections of an HTTP server, and those among them that are to be closed after a while. */
 export class ServerConnections {
   private readonly states = new Map<net.Socket, ServerConnection>();
@@ -24,7 +30,7 @@
     return this.lingering.size;
   }
   add(socket: net.Socket): void {
-    this.states.set(socket, { pendingCount: 0, idleSince: performance.now(), isRejected: false });
+    this.states.set(socket, newConnection());
     socket.on("close", () => {
       this.states.delete(socket);
       this.lingering.delete(socket);
@@ -32,7 +38,7 @@
   }
   /** Returns the state of a connection; a new one if it has been closed. */
   of(socket: net.Socket): ServerConnection {
-    return this.states.get(socket) ?? { pendingCount: 0, idleSince: performance.now(), isRejected: false };
+    return this.states.get(socket) ?? newConnection();
   }
   requestArrived(socket: net.Socket, request: http.IncomingMessage): void {
     const connection = this.of(socket);
--- a/src/runtime/unfinishedRequests.ts
+++ b/src/runtime/unfinishedRequests.ts
@@ -36,6 +36,10 @@
       .filter(({ response }) => !response.headersSent)
       .map(({ exchange }) => exchange);
   }
+  /** Whether a response has been ended of which a part still waits for the caller to read. */
+  hasUnsentResponse(): boolean {
+    return [...this.byResponse.keys()].some((response) => response.writableEnded);
+  }
   /** Describes the requests as cut now. */
   cutNow(): CutRequest[] {
     return [...this.byResponse.values()].map(({ exchange, response, arrivedAt }) => ({
